--- /dev/null
+++ b/sassafrasloft/blackboard/__init__.py
@@ -0,0 +1,17 @@
+"""Controllers over a blackboard, shared by all programs; no I/O."""
+
+from sassafrasloft.blackboard.board import Board, Command, Event
+from sassafrasloft.blackboard.controller import (
+    Controller,
+    ControllerRegistry,
+)
+from sassafrasloft.blackboard.decision_core import DecisionCore
+
+__all__ = [
+    "Board",
+    "Command",
+    "Controller",
+    "ControllerRegistry",
+    "DecisionCore",
+    "Event",
+]
--- a/sassafrasloft/core/decision_core.py
+++ b/sassafrasloft/blackboard/decision_core.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Sequence
 
+from sassafrasloft.blackboard.board import Board, Command, Event
+from sassafrasloft.blackboard.controller import Controller
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.core.blackboard import Blackboard
-from sassafrasloft.core.commands import Command
-from sassafrasloft.core.controller import Controller
-from sassafrasloft.core.events import Event
 
 MAX_ROUNDS = 1_000
 """Rounds of posted events in one step; more means that controllers loop."""
@@ -19,13 +17,13 @@
 
     Parameters
     ----------
-    board : Blackboard
+    board : Board
         The state.
     controllers : sequence of Controller
         In the order in which they react and settle.
     """
 
-    def __init__(self, board: Blackboard, controllers: Sequence[Controller]) -> None:
+    def __init__(self, board: Board, controllers: Sequence[Controller]) -> None:
         self._board = board
         self._controllers = tuple(controllers)
         self._watchers = tuple(
@@ -36,7 +34,7 @@
         self._routes: dict[type[Event], tuple[Controller, ...]] = {}
 
     @property
-    def board(self) -> Blackboard:
+    def board(self) -> Board:
         """The state, for tests and status; do not write to it."""
         return self._board
 
@@ -78,7 +76,7 @@
                 break
         else:
             raise RuntimeError(f"controllers post events without end: {pending[:3]}")
-        board.identity.last_event_ms = board.now
+        board.last_event_ms = board.now
         return board.take_commands()
 
     def _dispatch(self, event: Event) -> None:
--- a/sassafrasloft/callers/tests/test_submission.py
+++ b/sassafrasloft/callers/tests/test_submission.py
@@ -24,7 +24,7 @@
     submission_over,
 )
 from sassafrasloft.jobs import Answer, Fate
-from sassafrasloft.platform.tests.loopback_server import Server
+from sassafrasloft.keyvalue.tests.loopback_server import Server
 
 PUT, GET, DELETE = (f"{method} /v1/jobs/{ID}" for method in ("PUT", "GET", "DELETE"))
 
--- a/sassafrasloft/core/__init__.py
+++ b/sassafrasloft/core/__init__.py
@@ -1,5 +1,6 @@
 """The decision core: events and the time in, commands out, no I/O."""
 
+from sassafrasloft.blackboard import Controller, DecisionCore
 from sassafrasloft.core.blackboard import Blackboard
 from sassafrasloft.core.commands import (
     AbandonDelivery,
@@ -22,11 +23,9 @@
     WriteLog,
 )
 from sassafrasloft.core.controller import (
-    Controller,
     register_controller,
     registered_controllers,
 )
-from sassafrasloft.core.decision_core import DecisionCore
 from sassafrasloft.core.events import (
     AuthorityLost,
     DeliveryFailed,
--- a/sassafrasloft/core/blackboard.py
+++ b/sassafrasloft/core/blackboard.py
@@ -2,9 +2,9 @@
 
 from random import Random
 
+from sassafrasloft.blackboard import Board
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.core.commands import Command, SetTimer, WriteLog
-from sassafrasloft.core.events import Event
+from sassafrasloft.core.commands import SetTimer, WriteLog
 from sassafrasloft.invariants import Auditor, Invariant
 from sassafrasloft.settings import ServiceSettings
 from sassafrasloft.state import (
@@ -19,7 +19,7 @@
 )
 
 
-class Blackboard:
+class Blackboard(Board):
     """Sections of state with one owner each, and the output of a step.
 
     Section 4.1 of docs/design.md says which controllers write which section.
@@ -43,7 +43,7 @@
         random: Random,
         auditor: Auditor,
     ) -> None:
-        self.now: Milliseconds = 0
+        super().__init__()
         self.identity = identity
         self.settings = SettingsInForce(settings)
         self.random = random
@@ -55,18 +55,8 @@
         self.peers = PeerTable()
         self.platform = PlatformState()
         self.metrics = Counters()
-        self._commands: list[Command] = []
-        self._posted: list[Event] = []
         self._next_id = 0
 
-    def emit(self, command: Command) -> None:
-        """Add a command to the output of this step."""
-        self._commands.append(command)
-
-    def post(self, event: Event) -> None:
-        """Add an event that the controllers handle within this step."""
-        self._posted.append(event)
-
     def set_timer(self, name: str, delay_ms: Milliseconds) -> None:
         """Ask for `TimerFired` after a delay; replaces a timer of that name."""
         self.emit(SetTimer(name, self.now + max(0, delay_ms)))
@@ -87,13 +77,3 @@
     def fresh_span_id(self) -> str:
         """Return the id of a new span: 64 random bits in hexadecimal."""
         return f"{self.random.getrandbits(64):016x}"
-
-    def take_commands(self) -> list[Command]:
-        """Return the output of this step and start a new one."""
-        commands, self._commands = self._commands, []
-        return commands
-
-    def take_posted(self) -> list[Event]:
-        """Return the posted events and clear them."""
-        posted, self._posted = self._posted, []
-        return posted
--- a/sassafrasloft/core/commands.py
+++ b/sassafrasloft/core/commands.py
@@ -2,17 +2,13 @@
 
 import attrs
 
+from sassafrasloft.blackboard import Command
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.jobs import Answer, TaskKey, TaskSpec
 from sassafrasloft.messages import PeerMessage
 from sassafrasloft.messages.platform_calls import PlatformCall
 
 
-@attrs.frozen
-class Command:
-    """Base class of everything that the decision core asks an edge to do."""
-
-
 @attrs.frozen
 class IssuedIds:
     """Fresh submission ids for a caller."""
--- a/sassafrasloft/core/events.py
+++ b/sassafrasloft/core/events.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from sassafrasloft.blackboard import Event
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.jobs import Fate, JobSpec, RunnerCapacity, TaskKey, TaskReport
 from sassafrasloft.messages import PeerMessage
@@ -16,11 +17,6 @@
     span_id: str = ""
 
 
-@attrs.frozen
-class Event:
-    """Base class of everything that the decision core reacts to."""
-
-
 @attrs.frozen
 class Started(Event):
     """The process started; always the first event."""
--- a/sassafrasloft/entry/platform_edge.py
+++ b/sassafrasloft/entry/platform_edge.py
@@ -15,7 +15,7 @@
 
 
 class Platform(Protocol):
-    """What makes a call; `sassafrasloft.platform.PlatformClient` is one."""
+    """What makes a call; `sassafrasloft.keyvalue.PlatformClient` is one."""
 
     def call(self, call: PlatformCall) -> PlatformReply:
         """Make a call once; `Unavailable` on any failure."""
--- a/sassafrasloft/entry/service.py
+++ b/sassafrasloft/entry/service.py
@@ -38,11 +38,11 @@
 from sassafrasloft.entry.replies import ReplyTable
 from sassafrasloft.entry.timers import TimerThread
 from sassafrasloft.entry.upstream_client import UpstreamClient, unanswered
+from sassafrasloft.keyvalue import PlatformClient
 from sassafrasloft.listeners import HttpListener, ListenerLimits
 from sassafrasloft.logs import write_log
 from sassafrasloft.messages import Hello
 from sassafrasloft.metrics import MetricsRegistry
-from sassafrasloft.platform import PlatformClient
 from sassafrasloft.settings import RunnerSettings, ServiceSettings
 from sassafrasloft.traces import SpanWriter, span_of
 
--- a/sassafrasloft/platform/__init__.py
+++ b/sassafrasloft/keyvalue/__init__.py
@@ -1,5 +1,5 @@
 """The client of the platform's HTTP interface."""
 
-from sassafrasloft.platform.client import PlatformClient
+from sassafrasloft.keyvalue.client import PlatformClient
 
 __all__ = ["PlatformClient"]
--- a/sassafrasloft/platform/client.py
+++ b/sassafrasloft/keyvalue/client.py
@@ -7,8 +7,8 @@
 from urllib3.exceptions import HTTPError
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.keyvalue.forms import CallForm, form_of
 from sassafrasloft.messages import PlatformCall, PlatformReply, Unavailable, WatchKey
-from sassafrasloft.platform.forms import CallForm, form_of
 
 MAX_CONNECTIONS = 4
 """One watch, and a few short calls beside it."""
--- a/sassafrasloft/platform/tests/test_client.py
+++ b/sassafrasloft/keyvalue/tests/test_client.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from sassafrasloft.keyvalue import PlatformClient
+from sassafrasloft.keyvalue.tests.loopback_server import Server
 from sassafrasloft.messages import (
     GrantLease,
     InstanceList,
@@ -19,8 +21,6 @@
     WriteKey,
     Written,
 )
-from sassafrasloft.platform import PlatformClient
-from sassafrasloft.platform.tests.loopback_server import Server
 
 KEY = "sassafrasloft/mark host/settings"
 PATH = "/v1/keys/sassafrasloft/mark%20host/settings"
--- a/sassafrasloft/membership/pause.py
+++ b/sassafrasloft/membership/pause.py
@@ -37,7 +37,7 @@
             # Before its first event an instance had nothing to lose.
             return
         old = board.identity.incarnation
-        gap = board.now - board.identity.last_event_ms
+        gap = board.now - board.last_event_ms
         if gap <= board.settings.service.membership.pause_limit_ms:
             return
         _renew(board)
--- a/sassafrasloft/operators/program.py
+++ b/sassafrasloft/operators/program.py
@@ -8,6 +8,7 @@
 
 from absl import flags
 
+from sassafrasloft.keyvalue import PlatformClient
 from sassafrasloft.operators.commands import (
     CallPlatform,
     Context,
@@ -17,7 +18,6 @@
 )
 from sassafrasloft.operators.instances import OperatorClient
 from sassafrasloft.operators.policies import known_policies
-from sassafrasloft.platform import PlatformClient
 from sassafrasloft.settings import is_address, is_name
 
 for _module in ("settings_commands", "publish_commands", "instance_commands"):
--- a/sassafrasloft/operators/tests/test_instance_commands.py
+++ b/sassafrasloft/operators/tests/test_instance_commands.py
@@ -6,12 +6,12 @@
 import pytest
 from returns.result import Failure
 
+from sassafrasloft.keyvalue.tests.loopback_server import Server
 from sassafrasloft.operators import OperatorClient
 from sassafrasloft.operators.commands import ExitCode
 from sassafrasloft.operators.program import main
 from sassafrasloft.operators.tests.fake_platform import FakePlatform, Operator
 from sassafrasloft.operators.tests.test_settings_commands import EXAMPLE
-from sassafrasloft.platform.tests.loopback_server import Server
 from sassafrasloft.settings import InstanceSettings
 from sassafrasloft.traces import Span, SpanWriter
 
--- a/sassafrasloft/operators/tests/test_over_http.py
+++ b/sassafrasloft/operators/tests/test_over_http.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sassafrasloft.keyvalue import PlatformClient
 from sassafrasloft.messages import (
     GrantLease,
     InstanceList,
@@ -20,7 +21,6 @@
 )
 from sassafrasloft.operators.program import main
 from sassafrasloft.operators.tests.test_settings_commands import EXAMPLE
-from sassafrasloft.platform import PlatformClient
 from sassafrasloft.settings import parse_document
 from sassafrasloft.standins.platform import PlatformLimits
 from sassafrasloft.standins.platform_program import PlatformServer
