--- a/sassafrasloft/clock/__init__.py
+++ b/sassafrasloft/clock/__init__.py
@@ -1,5 +1,11 @@
 """Time in milliseconds, read only at the edges of a process."""
 
-from sassafrasloft.clock.clocks import Clock, ManualClock, Milliseconds, SystemClock
+from sassafrasloft.clock.clocks import (
+    BootClock,
+    Clock,
+    ManualClock,
+    Milliseconds,
+    SystemClock,
+)
 
-__all__ = ["Clock", "ManualClock", "Milliseconds", "SystemClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "Milliseconds", "SystemClock"]
--- a/sassafrasloft/clock/clocks.py
+++ b/sassafrasloft/clock/clocks.py
@@ -26,6 +26,17 @@
         return time.monotonic_ns() // 1_000_000
 
 
+class BootClock(Clock):
+    """The time since boot, which goes on while the machine is suspended.
+
+    Leases run on while a machine is suspended, so their holders need this clock.
+    """
+
+    def now(self) -> Milliseconds:
+        """Return the time since boot in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
 class ManualClock(Clock):
     """A clock that moves only when told to, for tests and measurements.
 
--- /dev/null
+++ b/sassafrasloft/event_loop/process.py
@@ -0,0 +1,254 @@
+"""One instance: its decision core with all of its edges."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from typing import Protocol
+
+from sassafrasloft.blackboard import Command, DecisionCore, Event
+from sassafrasloft.clock import Clock, Milliseconds
+from sassafrasloft.event_loop.actor import InstanceActor
+from sassafrasloft.event_loop.http_messages import HttpRequest, HttpResponse
+from sassafrasloft.event_loop.http_server import HttpServer
+from sassafrasloft.event_loop.log_output import LogOutput
+from sassafrasloft.event_loop.metrics_page import MetricsPage
+from sassafrasloft.event_loop.streams import MessageStreams
+from sassafrasloft.event_loop.timers import LoopTimers
+from sassafrasloft.gateway import CallerAnswer
+from sassafrasloft.instance.commands import (
+    AnswerCaller,
+    CallRunner,
+    CallStore,
+    CloseCallers,
+    CloseStream,
+    ExitProcess,
+    OpenStream,
+    SendMessage,
+    SetHttpLimits,
+    SetReadiness,
+    SetTimer,
+    WriteLog,
+)
+from sassafrasloft.instance.events import (
+    CallerGone,
+    RunnerReplied,
+    Started,
+    StopRequested,
+    StoreReplied,
+    TimerFired,
+)
+from sassafrasloft.metadata import StoreOperation, StoreReply
+from sassafrasloft.runs import RunnerOrder, RunnerReply
+from sassafrasloft.workload import HttpLimits
+
+EXIT_DELAY_S = 0.05
+"""For the last bytes of responses to leave."""
+
+
+class StoreCalls(Protocol):
+    """Makes calls to the metadata store; supplied by an adapter."""
+
+    def call(
+        self,
+        operation: StoreOperation,
+        timeout_ms: Milliseconds,
+        done: Callable[[StoreReply], None],
+    ) -> None:
+        """Make a call; `done` is called once."""
+
+
+class RunnerCalls(Protocol):
+    """Sends orders to runners; supplied by an adapter."""
+
+    def call(
+        self,
+        runner_id: str,
+        address: str,
+        order: RunnerOrder,
+        timeout_ms: Milliseconds,
+        done: Callable[[RunnerReply], None],
+    ) -> None:
+        """Send an order; `done` is called once."""
+
+
+class CallerForms(Protocol):
+    """Translates callers' requests and answers; supplied by an adapter."""
+
+    def read(self, request_id: int, request: HttpRequest) -> Event | HttpResponse:
+        """Return the event of a request, or the response to a malformed one."""
+
+    def write(self, answer: CallerAnswer) -> HttpResponse:
+        """Return the response for an answer."""
+
+
+class InstanceProcess:
+    """Connects the edges to the core.
+
+    Parameters
+    ----------
+    core : DecisionCore
+    clock : Clock
+    log : LogOutput
+    store : StoreCalls
+    runners : RunnerCalls
+    callers : CallerForms
+    """
+
+    def __init__(
+        self,
+        core: DecisionCore,
+        clock: Clock,
+        log: LogOutput,
+        store: StoreCalls,
+        runners: RunnerCalls,
+        callers: CallerForms,
+    ) -> None:
+        self._core = core
+        self._board = core.board
+        self._clock = clock
+        self._log = log
+        self._store = store
+        self._runners = runners
+        self._callers = callers
+        self._ready = False
+        self._exiting = asyncio.Event()
+        self.callers_server = HttpServer(self, HttpLimits())
+        self._readiness_server = HttpServer(ReadinessPage(self), HttpLimits())
+        self._streams = MessageStreams(self.tell)
+        loop = asyncio.get_running_loop()
+        self._timers = LoopTimers(loop, clock, self._fire)
+        self._actor = InstanceActor.start(core, clock, self._carriers())
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send new connections."""
+        return self._ready
+
+    @property
+    def readiness_server(self) -> HttpServer:
+        """The listener of the balancer's checks."""
+        return self._readiness_server
+
+    def tell(self, event: Event) -> None:
+        """Hand an event to the core."""
+        self._actor.tell(event)
+
+    def _fire(self, name: str) -> None:
+        self.tell(TimerFired(name))
+
+    def _carriers(self) -> dict[type[Command], Callable]:
+        streams = self._streams
+        return {
+            CallStore: self._call_store,
+            CallRunner: self._call_runner,
+            OpenStream: lambda one: streams.open(
+                one.stream_id, one.address, one.timeout_ms
+            ),
+            CloseStream: lambda one: streams.close(one.stream_id),
+            SendMessage: lambda one: streams.send(one.stream_id, one.message),
+            AnswerCaller: lambda one: self.callers_server.answer(
+                one.request_id, self._callers.write(one.answer)
+            ),
+            SetTimer: lambda one: self._timers.set(one.name, one.at),
+            SetReadiness: self._set_ready,
+            SetHttpLimits: self._set_limits,
+            CloseCallers: lambda _: self.callers_server.close_listener(),
+            WriteLog: self._write_log,
+            ExitProcess: lambda _: self._exiting.set(),
+        }
+
+    async def run(self) -> None:
+        """Serve until the core ends the process."""
+        settings = self._board.settings
+        await self._streams.listen(*split_address(settings.peers_address))
+        await self.callers_server.listen(*split_address(settings.callers_address))
+        await self._readiness_server.listen(*split_address(settings.readiness_address))
+        if settings.metrics_address:
+            page = MetricsPage(self._board, self._log)
+            await page.server.listen(*split_address(settings.metrics_address))
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop)
+        loop.add_signal_handler(signal.SIGINT, self._stop)
+        self._log.write("INFO", "started", (("zone", settings.zone),))
+        self.tell(Started())
+        await self._exiting.wait()
+        await asyncio.sleep(EXIT_DELAY_S)
+        self._log.flush()
+
+    def _stop(self) -> None:
+        self.callers_server.stopping = True
+        self.tell(StopRequested())
+
+    # Commands
+
+    def _call_store(self, command: CallStore) -> None:
+        call_id = command.call_id
+        self._store.call(
+            command.operation,
+            command.timeout_ms,
+            lambda reply: self.tell(StoreReplied(call_id, reply)),
+        )
+
+    def _call_runner(self, command: CallRunner) -> None:
+        call_id = command.call_id
+        self._runners.call(
+            command.runner_id,
+            command.address,
+            command.order,
+            command.timeout_ms,
+            lambda reply: self.tell(RunnerReplied(call_id, reply)),
+        )
+
+    def _set_ready(self, command: SetReadiness) -> None:
+        self._ready = command.ready
+        self._log.write("INFO", "readiness", (("ready", command.ready),))
+
+    def _set_limits(self, command: SetHttpLimits) -> None:
+        self.callers_server.limits = command.limits
+
+    def _write_log(self, command: WriteLog) -> None:
+        self._log.write(
+            command.level, command.event, command.fields, command.failed_request
+        )
+
+    # Callers
+
+    def take_request(self, request_id: int, request: HttpRequest) -> None:
+        """Take a caller's request."""
+        read = self._callers.read(request_id, request)
+        if isinstance(read, HttpResponse):
+            self._log.write(
+                "INFO",
+                "request_malformed",
+                (("path", request.path[:80]), ("status", read.status)),
+                important=True,
+            )
+            self.callers_server.answer(request_id, read)
+        else:
+            self.tell(read)
+
+    def lose_request(self, request_id: int, reset: bool) -> None:
+        """Note that a caller is gone."""
+        self.tell(CallerGone(request_id, reset))
+
+
+class ReadinessPage:
+    """Answers the balancer's checks."""
+
+    def __init__(self, process: InstanceProcess) -> None:
+        self._process = process
+
+    def take_request(self, request_id: int, request: HttpRequest) -> None:
+        """Answer 200 while ready, else 503."""
+        status = 200 if self._process.ready else 503
+        response = HttpResponse(status)
+        self._process.readiness_server.answer(request_id, response)
+
+    def lose_request(self, request_id: int, reset: bool) -> None:
+        """Nothing is open."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/sassafrasloft/gateway/controller.py
@@ -0,0 +1,334 @@
+"""Takes callers' requests, hands jobs to the scheduler and answers."""
+
+from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.gateway.answers import AnswerKind, CallerAnswer
+from sassafrasloft.gateway.requests import OpenJob
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.commands import AnswerCaller, SendMessage
+from sassafrasloft.instance.controllers import CONTROLLERS
+from sassafrasloft.instance.events import (
+    CallerGone,
+    GatewayMessage,
+    JobRequested,
+    JobStateRequested,
+    QueueRequested,
+    SchedulerMessage,
+    TargetChanged,
+    TargetLost,
+    TimerFired,
+)
+from sassafrasloft.instance.messages import (
+    CancelJob,
+    JobAnswer,
+    JobState,
+    Message,
+    QueryJob,
+    QueryQueue,
+    QueueState,
+    SubmitJob,
+)
+from sassafrasloft.scheduling import JobOutcome
+from sassafrasloft.workload import Route
+
+GIVE_UP_TIMER = "gateway.give_up"
+GIVE_UP_MS = 10
+"""Period of the check for jobs that no scheduler takes, in milliseconds."""
+NO_TARGET = -1
+LOCAL = 0
+
+_KINDS = {
+    JobOutcome.COMPLETED.value: AnswerKind.COMPLETED,
+    JobOutcome.FAILED.value: AnswerKind.FAILED,
+    JobOutcome.CANCELLED.value: AnswerKind.CANCELLED,
+    JobOutcome.REFUSED.value: AnswerKind.REFUSED,
+    JobOutcome.MAY_HAVE_RUN.value: AnswerKind.MAY_HAVE_RUN,
+    JobOutcome.NO_SUCH_ROUTE.value: AnswerKind.NO_SUCH_ROUTE,
+}
+
+
+@CONTROLLERS.register("gateway", order=30)
+class GatewayController(Controller):
+    """Owns `board.requests`."""
+
+    handles = (
+        JobRequested,
+        JobStateRequested,
+        QueueRequested,
+        CallerGone,
+        GatewayMessage,
+        TargetChanged,
+        TargetLost,
+        TimerFired,
+    )
+
+    def __init__(self) -> None:
+        self._target = NO_TARGET
+        self._checking = False
+        self._lost_at = 0
+
+    def react(self, event: Event, board: InstanceBoard) -> None:
+        """Handle requests, answers and changes of the scheduler."""
+        if isinstance(event, JobRequested):
+            self._take_job(event, board)
+        elif isinstance(event, GatewayMessage):
+            self._take_answer(event.message, board)
+        elif isinstance(event, CallerGone):
+            self._drop(event, board)
+        elif isinstance(event, TargetChanged):
+            self._change_target(event, board)
+        elif isinstance(event, TargetLost):
+            self._lose_target(event, board)
+        elif isinstance(event, JobStateRequested):
+            self._ask_job(event, board)
+        elif isinstance(event, QueueRequested):
+            self._ask_queue(event, board)
+        elif isinstance(event, TimerFired) and event.name == GIVE_UP_TIMER:
+            self._give_up(board)
+
+    # Requests
+
+    def _route(self, request_id: int, host: str, path: str, board: InstanceBoard):
+        """Return the route of a request, or answer that there is none."""
+        configuration = board.configuration.current
+        if configuration.version == 0:
+            self._answer(
+                request_id,
+                CallerAnswer(
+                    AnswerKind.UNAVAILABLE,
+                    "no configuration yet",
+                    board.tuning.shortest_retry_after_s,
+                ),
+                board,
+            )
+            return None
+        route = configuration.route_for(host, path)
+        if route is None:
+            board.count("requests_without_route")
+            board.log_request(
+                "request_without_route",
+                failed=True,
+                host=host,
+                path=path[:80],
+                version=configuration.version,
+            )
+            self._answer(request_id, CallerAnswer(AnswerKind.NO_SUCH_ROUTE), board)
+        return route
+
+    def _take_job(self, event: JobRequested, board: InstanceBoard) -> None:
+        route = self._route(event.request_id, event.host, event.path, board)
+        if route is None:
+            return
+        unsupported = event.unsupported
+        if not unsupported and route.needs_advice:
+            unsupported = "routes with placement advice are not supported"
+        if unsupported:
+            board.count("jobs_unsupported")
+            board.log_request(
+                "job_unsupported",
+                failed=True,
+                job=event.job.job_id,
+                reason=unsupported,
+            )
+            retry = board.tuning.shortest_retry_after_s
+            answer = CallerAnswer(AnswerKind.UNAVAILABLE, unsupported, retry)
+            self._answer(event.request_id, answer, board)
+            return
+        self._open_job(event, route, board)
+
+    def _open_job(
+        self, event: JobRequested, route: Route, board: InstanceBoard
+    ) -> None:
+        requests = board.requests
+        requests.job_of[event.request_id] = event.job.job_id
+        known = requests.jobs.get(event.job.job_id)
+        if known is not None:
+            known.requests.add(event.request_id)
+            return
+        remaining = event.remaining_ms or route.timeout_ms
+        objective = route.objective_ms(event.job.chain_ms())
+        job = OpenJob(event.job, route, board.now, board.now + remaining, objective)
+        job.requests.add(event.request_id)
+        requests.jobs[event.job.job_id] = job
+        board.count("requests_taken")
+        self._submit(job, board)
+
+    def _submit(self, job: OpenJob, board: InstanceBoard) -> None:
+        if self._target == NO_TARGET:
+            self._start_checking(board)
+            return
+        message = SubmitJob(
+            job.job,
+            job.route.name,
+            board.now - job.arrived_at,
+            max(0, job.deadline_at - board.now),
+            job.sent,
+        )
+        job.sent = True
+        job.sent_to_current = True
+        self._send(message, board)
+
+    def _send(self, message: Message, board: InstanceBoard) -> None:
+        if self._target == LOCAL:
+            board.post(SchedulerMessage(LOCAL, message))
+        else:
+            board.emit(SendMessage(self._target, message))
+
+    def _ask_job(self, event: JobStateRequested, board: InstanceBoard) -> None:
+        if self._route(event.request_id, event.host, event.path, board) is None:
+            return
+        if self._target == NO_TARGET:
+            self._answer_unavailable(event.request_id, board)
+            return
+        board.requests.questions[event.request_id] = ("job", event.job_id)
+        if event.cancel:
+            self._send(CancelJob(event.job_id, wants_answer=True), board)
+        else:
+            self._send(QueryJob(event.job_id), board)
+
+    def _ask_queue(self, event: QueueRequested, board: InstanceBoard) -> None:
+        route = self._route(event.request_id, event.host, event.path, board)
+        if route is None:
+            return
+        if self._target == NO_TARGET:
+            self._answer_unavailable(event.request_id, board)
+            return
+        board.requests.questions[event.request_id] = ("queue", route.name)
+        self._send(QueryQueue(route.name), board)
+
+    def _answer_unavailable(self, request_id: int, board: InstanceBoard) -> None:
+        retry = board.tuning.shortest_retry_after_s
+        answer = CallerAnswer(AnswerKind.UNAVAILABLE, "no scheduler", retry)
+        self._answer(request_id, answer, board)
+
+    def _drop(self, event: CallerGone, board: InstanceBoard) -> None:
+        requests = board.requests
+        requests.questions.pop(event.request_id, None)
+        job_id = requests.job_of.pop(event.request_id, None)
+        if job_id is None:
+            return
+        board.count("callers_gone")
+        job = requests.jobs[job_id]
+        job.requests.discard(event.request_id)
+        if job.requests:
+            return
+        del requests.jobs[job_id]
+        board.log_request(
+            "caller_gone",
+            job=job_id,
+            reset=event.reset,
+            after_ms=board.now - job.arrived_at,
+        )
+        # A caller whose connection was reset sends again and finds its work done.
+        if job.sent_to_current and not event.reset:
+            self._send(CancelJob(job_id, wants_answer=False), board)
+
+    # Answers
+
+    def _answer(
+        self, request_id: int, answer: CallerAnswer, board: InstanceBoard
+    ) -> None:
+        board.count(f"answers_{answer.kind.value}")
+        board.emit(AnswerCaller(request_id, answer))
+
+    def _take_answer(self, message: Message, board: InstanceBoard) -> None:
+        if isinstance(message, JobAnswer):
+            job = board.requests.jobs.get(message.job_id)
+            if job is not None:
+                kind = _KINDS.get(message.outcome, AnswerKind.MAY_HAVE_RUN)
+                answer = CallerAnswer(kind, message.reason, message.retry_after_s)
+                self._close_job(job, answer, board)
+        elif isinstance(message, JobState):
+            self._answer_questions(
+                ("job", message.job_id), _state_answer(message.state), board
+            )
+        elif isinstance(message, QueueState):
+            answer = CallerAnswer(AnswerKind.PENDING, pending=message.pending)
+            self._answer_questions(("queue", message.route), answer, board)
+
+    def _answer_questions(
+        self, asked: tuple[str, str], answer: CallerAnswer, board: InstanceBoard
+    ) -> None:
+        questions = board.requests.questions
+        for request_id in [one for one, what in questions.items() if what == asked]:
+            del questions[request_id]
+            self._answer(request_id, answer, board)
+
+    def _close_job(
+        self, job: OpenJob, answer: CallerAnswer, board: InstanceBoard
+    ) -> None:
+        job_id = job.job.job_id
+        del board.requests.jobs[job_id]
+        duration = board.now - job.arrived_at
+        board.measure(f"request_{answer.kind.value}", duration)
+        failed = answer.kind is not AnswerKind.COMPLETED
+        board.log_request(
+            "request_answered",
+            failed=failed or duration > job.objective_ms,
+            job=job_id,
+            route=job.route.name,
+            version=board.configuration.current.version,
+            answer=answer.kind.value,
+            reason=answer.detail,
+            duration_ms=duration,
+        )
+        for request_id in sorted(job.requests):
+            del board.requests.job_of[request_id]
+            self._answer(request_id, answer, board)
+
+    # The scheduler
+
+    def _change_target(self, event: TargetChanged, board: InstanceBoard) -> None:
+        self._target = event.stream_id
+        for job in list(board.requests.jobs.values()):
+            if job.sent and event.own_zone_only:
+                # The scheduler that had it may go on with it out of reach.
+                self._close_job(job, _may_have_run("scheduler lost"), board)
+            else:
+                self._submit(job, board)
+
+    def _lose_target(self, event: TargetLost, board: InstanceBoard) -> None:
+        if self._target == NO_TARGET:
+            return
+        self._target = NO_TARGET
+        self._lost_at = board.now
+        for job in board.requests.jobs.values():
+            job.sent_to_current = False
+        for request_id in list(board.requests.questions):
+            del board.requests.questions[request_id]
+            self._answer_unavailable(request_id, board)
+        if board.requests.jobs:
+            self._start_checking(board)
+
+    def _start_checking(self, board: InstanceBoard) -> None:
+        if not self._checking:
+            self._checking = True
+            board.set_timer(GIVE_UP_TIMER, GIVE_UP_MS)
+
+    def _give_up(self, board: InstanceBoard) -> None:
+        """Refuse jobs that have waited for a scheduler for too long."""
+        self._checking = False
+        if self._target != NO_TARGET:
+            return
+        tuning = board.tuning
+        hopeless = board.now - self._lost_at > tuning.silence_ms
+        for job in list(board.requests.jobs.values()):
+            waited = board.now - job.arrived_at
+            if job.sent:
+                if board.now >= job.deadline_at:
+                    self._close_job(job, _may_have_run("no scheduler"), board)
+            elif hopeless or waited >= tuning.wait_share * job.objective_ms:
+                retry = tuning.shortest_retry_after_s
+                answer = CallerAnswer(AnswerKind.UNAVAILABLE, "no scheduler", retry)
+                self._close_job(job, answer, board)
+        if board.requests.jobs:
+            self._start_checking(board)
+
+
+def _may_have_run(reason: str) -> CallerAnswer:
+    return CallerAnswer(AnswerKind.MAY_HAVE_RUN, reason)
+
+
+def _state_answer(state: str) -> CallerAnswer:
+    if not state:
+        return CallerAnswer(AnswerKind.NO_SUCH_JOB)
+    return CallerAnswer(AnswerKind.STATE, state)
--- /dev/null
+++ b/sassafrasloft/gateway/requests.py
@@ -0,0 +1,46 @@
+"""Open requests of an instance's own callers."""
+
+import attrs
+
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.workload import JobRequest, Route
+
+
+@attrs.define(eq=False)
+class OpenJob:
+    """A job with at least one caller waiting for its answer.
+
+    Parameters
+    ----------
+    requests : set of int
+        The requests that wait.
+    sent : bool
+        Whether a scheduler may have it.
+    sent_to_current : bool
+        Whether the present scheduler has it.
+    """
+
+    job: JobRequest
+    route: Route
+    arrived_at: Milliseconds
+    deadline_at: Milliseconds
+    objective_ms: float
+    requests: set[int] = attrs.field(factory=set)
+    sent: bool = False
+    sent_to_current: bool = False
+
+
+@attrs.define(eq=False)
+class OpenRequests:
+    """All requests that have no answer yet."""
+
+    jobs: dict[str, OpenJob] = attrs.field(factory=dict)
+    job_of: dict[int, str] = attrs.field(factory=dict)
+    """Job requests by request id."""
+    questions: dict[int, tuple[str, str]] = attrs.field(factory=dict)
+    """Other requests: their kind, and the job or route that they ask for."""
+
+    @property
+    def count(self) -> int:
+        """The number of requests without an answer."""
+        return len(self.job_of) + len(self.questions)
--- /dev/null
+++ b/sassafrasloft/instance/assembly.py
@@ -0,0 +1,48 @@
+"""Builds the decision core of an instance."""
+
+from random import Random
+
+from sassafrasloft.blackboard import DecisionCore
+from sassafrasloft.gateway import controller as _gateway  # noqa: F401 - registers
+from sassafrasloft.instance import stopping as _stopping  # noqa: F401 - registers
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.controllers import CONTROLLERS
+from sassafrasloft.instance.settings import InstanceSettings
+from sassafrasloft.instance.tuning import Tuning
+from sassafrasloft.invariants import Auditor
+from sassafrasloft.leadership import controller as _leadership  # noqa: F401 - registers
+from sassafrasloft.metadata import controller as _metadata  # noqa: F401 - registers
+from sassafrasloft.metadata.adoption import StoreDocuments
+from sassafrasloft.runs import controller as _runs  # noqa: F401 - registers
+from sassafrasloft.scheduling import controller as _scheduling  # noqa: F401 - registers
+
+
+def create_instance(
+    settings: InstanceSettings,
+    documents: StoreDocuments,
+    random: Random,
+    tuning: Tuning | None = None,
+    strict: bool = False,
+) -> DecisionCore:
+    """Return a new decision core.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+    documents : StoreDocuments
+    random : random.Random
+        Also names the incarnation.
+    tuning : Tuning, optional
+    strict : bool
+        Whether a violated invariant raises, as in tests.
+    """
+    incarnation = f"{random.getrandbits(64):016x}"
+    board = InstanceBoard(
+        settings,
+        incarnation,
+        random,
+        tuning or Tuning(),
+        Auditor(strict=strict),
+        documents,
+    )
+    return DecisionCore(board, CONTROLLERS.create_all())
--- /dev/null
+++ b/sassafrasloft/instance/board.py
@@ -0,0 +1,109 @@
+"""The blackboard of an instance."""
+
+from random import Random
+
+import attrs
+
+from sassafrasloft.blackboard import Board
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.gateway.requests import OpenRequests
+from sassafrasloft.instance.commands import SetTimer, WriteLog
+from sassafrasloft.instance.settings import InstanceSettings
+from sassafrasloft.instance.tuning import Tuning
+from sassafrasloft.invariants import Auditor
+from sassafrasloft.leadership.state import Rights
+from sassafrasloft.metadata.adoption import ConfigurationState, StoreDocuments
+from sassafrasloft.runs import RunnerPool
+from sassafrasloft.scheduling import JobTable
+from sassafrasloft.scheduling.estimates import DurationEstimates
+
+MAX_SAMPLES = 5_000
+"""Kept until the metrics are read; further ones are dropped."""
+
+
+@attrs.define
+class Stopping:
+    """The progress of a planned stop."""
+
+    requested_at: Milliseconds = -1
+
+    @property
+    def requested(self) -> bool:
+        """Whether the process is to stop."""
+        return self.requested_at >= 0
+
+
+class InstanceBoard(Board):
+    """Sections of state, each written by its own controllers.
+
+    Parameters
+    ----------
+    settings : InstanceSettings
+    incarnation : str
+        Differs between processes of one instance.
+    random : random.Random
+        The only source of randomness of the controllers.
+    tuning : Tuning
+    auditor : Auditor
+    documents : StoreDocuments
+        How documents in the store are named and read.
+    """
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        incarnation: str,
+        random: Random,
+        tuning: Tuning,
+        auditor: Auditor,
+        documents: StoreDocuments,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.incarnation = incarnation
+        self.random = random
+        self.tuning = tuning
+        self.auditor = auditor
+        self.documents = documents
+        auditor.on_violation = self._log_violation
+        self.configuration = ConfigurationState()
+        self.rights = Rights()
+        self.pool = RunnerPool()
+        self.jobs = JobTable()
+        self.estimates = DurationEstimates()
+        self.requests = OpenRequests()
+        self.stopping = Stopping()
+        self.counters: dict[str, int] = {}
+        self.samples: list[tuple[str, Milliseconds]] = []
+        self._last_id = 0
+
+    def fresh_id(self) -> int:
+        """Return a number that is unique within this process."""
+        self._last_id += 1
+        return self._last_id
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def measure(self, name: str, duration_ms: Milliseconds) -> None:
+        """Add a sample to a latency histogram."""
+        if len(self.samples) < MAX_SAMPLES:
+            self.samples.append((name, duration_ms))
+
+    def set_timer(self, name: str, delay_ms: Milliseconds) -> None:
+        """Ask for `TimerFired` after a delay; replaces a timer of that name."""
+        self.emit(SetTimer(name, self.now + max(0, int(delay_ms))))
+
+    def log(self, event: str, level: str = "INFO", **fields: object) -> None:
+        """Write a log line about what this instance believes or does."""
+        self.emit(WriteLog(level, event, tuple(fields.items())))
+
+    def log_request(
+        self, event: str, level: str = "INFO", failed: bool = False, **fields: object
+    ) -> None:
+        """Write a log line about a request; those of failed ones are kept longest."""
+        self.emit(WriteLog(level, event, tuple(fields.items()), failed))
+
+    def _log_violation(self, invariant: object, detail: str) -> None:
+        self.log("invariant_violated", "ERROR", invariant=str(invariant), found=detail)
--- /dev/null
+++ b/sassafrasloft/instance/commands.py
@@ -0,0 +1,105 @@
+"""What an instance does."""
+
+import attrs
+
+from sassafrasloft.blackboard import Command
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.gateway.answers import CallerAnswer
+from sassafrasloft.instance.messages import Message
+from sassafrasloft.metadata import StoreOperation
+from sassafrasloft.runs import RunnerOrder
+from sassafrasloft.workload import HttpLimits
+
+
+@attrs.frozen
+class CallStore(Command):
+    """Makes a call to the metadata store."""
+
+    call_id: int
+    operation: StoreOperation
+    timeout_ms: Milliseconds
+
+
+@attrs.frozen
+class CallRunner(Command):
+    """Sends an order to a runner."""
+
+    call_id: int
+    runner_id: str
+    address: str
+    order: RunnerOrder
+    timeout_ms: Milliseconds
+
+
+@attrs.frozen
+class OpenStream(Command):
+    """Opens a stream to another instance."""
+
+    stream_id: int
+    address: str
+    timeout_ms: Milliseconds
+
+
+@attrs.frozen
+class CloseStream(Command):
+    """Closes a stream; the edge reports nothing more of it."""
+
+    stream_id: int
+
+
+@attrs.frozen
+class SendMessage(Command):
+    """Sends a message on a stream; dropped if the stream is closed."""
+
+    stream_id: int
+    message: Message
+
+
+@attrs.frozen
+class AnswerCaller(Command):
+    """Answers a caller's request, exactly once."""
+
+    request_id: int
+    answer: CallerAnswer
+
+
+@attrs.frozen
+class SetTimer(Command):
+    """Asks for `TimerFired`; replaces a timer of that name."""
+
+    name: str
+    at: Milliseconds
+
+
+@attrs.frozen
+class SetReadiness(Command):
+    """Tells the balancer whether to send new connections."""
+
+    ready: bool
+
+
+@attrs.frozen
+class SetHttpLimits(Command):
+    """Changes the bounds for callers' connections."""
+
+    limits: HttpLimits
+
+
+@attrs.frozen
+class CloseCallers(Command):
+    """Stops listening for callers and closes idle connections."""
+
+
+@attrs.frozen
+class WriteLog(Command):
+    """Writes a log line."""
+
+    level: str
+    event: str
+    fields: tuple[tuple[str, object], ...]
+    failed_request: bool = False
+
+
+@attrs.frozen
+class ExitProcess(Command):
+    """Ends the process once all answers are written."""
--- /dev/null
+++ b/sassafrasloft/instance/tuning.py
@@ -0,0 +1,93 @@
+"""The times and limits of an instance, with their units and reasons."""
+
+import attrs
+
+from sassafrasloft.clock import Milliseconds
+
+
+@attrs.frozen
+class Tuning:
+    """Timeouts, periods and limits.
+
+    Times in milliseconds. Each comment says where the figure comes from.
+    """
+
+    # Runners
+    lease_ms: Milliseconds = 900
+    """Below the longest lease that runners grant (1,000), with room for a clock
+    that is 2% slow and for one lost renewal."""
+    renewal_ms: Milliseconds = 250
+    """Three renewals fit into a lease."""
+    order_timeout_ms: Milliseconds = 150
+    """A round trip is under 5; longer means a lost answer or a stalled runner."""
+    hold_slack_ms: Milliseconds = 200
+    """How late the answer to a waiting hold may be."""
+    longest_idle_wait_ms: Milliseconds = 1_000
+    """Runners without runs need no renewal, only a sign of life."""
+    orphan_grace_ms: Milliseconds = 400
+    """Instances hand in their open jobs again within this time of a takeover."""
+    lapse_margin_ms: Milliseconds = 60
+    """Beyond a lease: 2% of it and the time an order may travel."""
+    runner_list_ms: Milliseconds = 1_000
+    """Half of the time within which a draining runner must get no new work."""
+    standby_list_ms: Milliseconds = 3_000
+    """Instances that do not schedule read the cheap stale list at this rate."""
+    missing_grace_ms: Milliseconds = 2_500
+    """Entries that lapsed in an outage of the store are back within 2,000."""
+
+    # Health of runners
+    first_quarantine_ms: Milliseconds = 1_000
+    """A runner that fails work is tried again with one task after this."""
+    longest_quarantine_ms: Milliseconds = 8_000
+    """Bound of the doubling quarantine: below the length of usual faults."""
+    overdue_factor: float = 2.5
+    """Declared durations are off by up to 40% and vary by 40%."""
+    overdue_slack_ms: Milliseconds = 60
+    """Messages and stops take part of the time of short tasks."""
+
+    # Store
+    store_timeout_ms: Milliseconds = 400
+    """The store answers within 4 when it is well."""
+    watch_ms: Milliseconds = 1_500
+    """A silent connection is noticed within this and the timeout, which leaves
+    time for configuration to apply within 2,000."""
+    store_retry_ms: Milliseconds = 250
+    """Between calls that failed: four a second from each instance."""
+
+    # Scheduler's right
+    right_lease_ms: Milliseconds = 2_000
+    """A right without its holder ends after this; two failed renewals fit."""
+    right_renewal_ms: Milliseconds = 600
+    beat_ms: Milliseconds = 150
+    """Three beats fit into the silence that is taken for a failure."""
+    silence_ms: Milliseconds = 500
+    """Without any message for this long a stream is taken for dead."""
+    connect_timeout_ms: Milliseconds = 200
+    """A connection takes under 5 between zones."""
+    rank_delay_ms: Milliseconds = 30
+    """Successors try one after the other; a claim takes about 10."""
+    vote_ms: Milliseconds = 120
+    """How long answers of other instances are waited for."""
+    zone_fallback_ms: Milliseconds = 700
+    """Without any scheduler for this long a zone schedules its own runners."""
+    absence_ms: Milliseconds = 10_000
+    """After this an instance no longer counts towards a majority."""
+    pause_ms: Milliseconds = 600
+    """A gap between events above this means that the process was suspended."""
+
+    # Jobs
+    wait_share: float = 0.22
+    """Of a job's objective: a caller that is refused has lost less than a quarter
+    of the time in which another attempt could be in time."""
+    answer_retention_ms: Milliseconds = 5_000
+    """Callers send again 1,300 after a lost answer."""
+    most_open_jobs: int = 2_000
+    """At one scheduler; further jobs are refused."""
+    shortest_retry_after_s: int = 1
+    """The header counts whole seconds."""
+
+    # Stopping
+    ready_before_exit_ms: Milliseconds = 2_500
+    """The balancer needs two missed checks, one a second."""
+    longest_stop_ms: Milliseconds = 5_300
+    """Before the platform's SIGKILL at 6,000."""
--- a/sassafrasloft/invariants/registry.py
+++ b/sassafrasloft/invariants/registry.py
@@ -14,6 +14,7 @@
     LEAVING_GETS_NO_WORK = "leaving_gets_no_work"
     PLANNED_STOP_CUTS_NOTHING = "planned_stop_cuts_nothing"
     CONFIGURATION_NEVER_REVERTS = "configuration_never_reverts"
+    ONE_RUN_AT_A_TIME = "one_run_at_a_time"
 
 
 def invariants() -> tuple[Invariant, ...]:
--- /dev/null
+++ b/sassafrasloft/leadership/followers.py
@@ -0,0 +1,169 @@
+"""The scheduler's side of the streams: followers, beats and the roster."""
+
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.commands import CloseStream, SendMessage
+from sassafrasloft.instance.events import FollowerLost, ZoneReturned
+from sassafrasloft.instance.messages import (
+    Beat,
+    Handover,
+    Hello,
+    JobProgress,
+    RosterEntry,
+    Welcome,
+)
+from sassafrasloft.leadership.state import Role, StreamState
+from sassafrasloft.scheduling import TaskState
+
+RECONNECT_MS = 1_000
+"""An instance whose stream ended comes back within this, or is gone."""
+
+
+class Followers:
+    """Instances that hand in jobs here, and those heard from lately."""
+
+    def __init__(self) -> None:
+        self._heard: dict[str, tuple[RosterEntry, int]] = {}
+        """By name: the entry and when it leaves the roster."""
+        self._roster_changed = False
+        self._next_slot = 1
+
+    def begin(self, board: InstanceBoard) -> None:
+        """Start from the roster that the last scheduler sent."""
+        rights = board.rights
+        self._heard.clear()
+        until = board.now + board.tuning.absence_ms
+        for one in rights.roster:
+            self._heard[one.name] = (one, until)
+        self._next_slot = max((one.slot for one in rights.roster), default=0) + 1
+        own = board.settings
+        self._note(own.name, own.zone, own.peers_address, own.cores, board)
+        self._publish(board)
+
+    def _note(
+        self, name: str, zone: str, address: str, cores: float, board: InstanceBoard
+    ) -> None:
+        known = self._heard.get(name)
+        slot = known[0].slot if known else self._next_slot
+        if known is None:
+            self._next_slot += 1
+        entry = RosterEntry(name, zone, address, cores, slot)
+        if known is None or known[0] != entry:
+            self._roster_changed = True
+            board.log("instance_seen", instance=name, zone=zone, slot=slot)
+        self._heard[name] = (entry, board.now + board.tuning.absence_ms)
+
+    def _publish(self, board: InstanceBoard) -> None:
+        self._roster_changed = True
+        board.rights.roster = tuple(
+            sorted((one for one, _ in self._heard.values()), key=lambda one: one.slot)
+        )
+
+    def welcome(
+        self, stream: StreamState, message: Hello, board: InstanceBoard
+    ) -> None:
+        """Take an instance as a follower."""
+        rights = board.rights
+        zone = board.pool.zone
+        stream.follower = True
+        stream.name = message.name
+        stream.zone = message.zone
+        self._note(
+            message.name, message.zone, message.peers_address, message.cores, board
+        )
+        self._publish(board)
+        board.emit(
+            SendMessage(
+                stream.stream_id,
+                Welcome(board.settings.name, rights.base_token, zone),
+            )
+        )
+        board.emit(SendMessage(stream.stream_id, Beat(rights.roster)))
+        self._take_round(message.zone, message.zone_round, board)
+
+    def _take_round(self, zone: str, zone_round: int, board: InstanceBoard) -> None:
+        """Take back the runners of a zone that scheduled for itself."""
+        rights = board.rights
+        if rights.role is not Role.SCHEDULING:
+            return
+        if zone_round > rights.rounds.get(zone, 0):
+            rights.rounds[zone] = zone_round + 1
+            board.log("zone_taken_back", zone=zone, round=zone_round + 1)
+            board.post(ZoneReturned(zone, zone_round + 1))
+
+    def take_handover(self, message: Handover, board: InstanceBoard) -> None:
+        """Note the round of fencing tokens of a zone that is given back."""
+        if message.zone:
+            self._take_round(message.zone, message.round, board)
+
+    def beat(self, board: InstanceBoard) -> None:
+        """Send a sign of life and drop silent followers."""
+        rights = board.rights
+        if rights.role is Role.SCHEDULING:
+            self._expire(board)
+        roster = rights.roster if self._roster_changed else None
+        self._roster_changed = False
+        for stream in list(rights.streams.values()):
+            if not stream.follower:
+                continue
+            if board.now - stream.heard_at > board.tuning.silence_ms:
+                self.drop(stream, True, board)
+                board.emit(CloseStream(stream.stream_id))
+            else:
+                board.emit(SendMessage(stream.stream_id, Beat(roster)))
+
+    def _expire(self, board: InstanceBoard) -> None:
+        present = {one.name for one in board.rights.streams.values() if one.follower}
+        present.add(board.settings.name)
+        gone = [
+            name
+            for name, (_, until) in self._heard.items()
+            if name not in present and until <= board.now
+        ]
+        for name in gone:
+            del self._heard[name]
+            board.log("instance_gone", instance=name)
+        if gone:
+            self._publish(board)
+
+    def drop(self, stream: StreamState, silent: bool, board: InstanceBoard) -> None:
+        """Note the loss of a follower."""
+        board.rights.streams.pop(stream.stream_id, None)
+        stream.follower = False
+        known = self._heard.get(stream.name)
+        if known is not None:
+            absence = board.tuning.absence_ms if silent else RECONNECT_MS
+            self._heard[stream.name] = (known[0], board.now + absence)
+        board.log("instance_lost", instance=stream.name, silent=silent)
+        board.post(FollowerLost(stream.stream_id, silent))
+
+    def connected(self, board: InstanceBoard) -> list[StreamState]:
+        """Return the streams of all followers."""
+        return [one for one in board.rights.streams.values() if one.follower]
+
+    def has_quorum(self, board: InstanceBoard) -> bool:
+        """Return whether more than half of the known instances follow."""
+        return (len(self.connected(board)) + 1) * 2 > len(board.rights.roster)
+
+    def successor(self, board: InstanceBoard) -> StreamState | None:
+        """Return the follower that is to schedule next."""
+        cores = {one.name: one.cores for one in board.rights.roster}
+        return min(
+            self.connected(board),
+            key=lambda one: (-cores.get(one.name, 0.0), one.name),
+            default=None,
+        )
+
+
+def handover(board: InstanceBoard, zone: str) -> Handover:
+    """Return what a new scheduler needs to know of the open jobs."""
+    jobs = tuple(
+        JobProgress(
+            job.job_id,
+            tuple(
+                task.name for task in job.tasks.values() if task.state is TaskState.DONE
+            ),
+        )
+        for job in board.jobs.open.values()
+        if job.offered
+    )
+    return Handover(zone, board.rights.rounds.get(zone, 0), jobs)
--- /dev/null
+++ b/sassafrasloft/leadership/seeking.py
@@ -0,0 +1,252 @@
+"""How an instance without a scheduler finds or becomes one.
+
+It connects to the holder of the right. If that fails it asks the other instances:
+if any of them still hears from the holder, this instance is the one that is cut
+off. If most of them have lost the holder as well, they take over the right in the
+store one after the other. Otherwise the instances of a zone that can reach each
+other schedule for their own zone.
+"""
+
+import attrs
+
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.commands import CallStore, OpenStream, SendMessage
+from sassafrasloft.instance.messages import HeardQuery, HeardReply, Hello, RosterEntry
+from sassafrasloft.leadership.state import RightRecord, StreamState
+from sassafrasloft.metadata import (
+    GrantLease,
+    LeaseGranted,
+    StoreFailure,
+    StoreReply,
+    Transaction,
+    TransactionDone,
+    TransactionRefused,
+)
+
+FRESH_BEATS = 2
+"""A scheduler that was heard within this many beats is alive."""
+STEP_MS = 20
+"""Period of the steps of a search, in milliseconds."""
+RETRY_MS = 150
+"""Between attempts to connect to a holder, in milliseconds."""
+
+
+@attrs.define(eq=False)
+class Search:
+    """One search for a scheduler.
+
+    Parameters
+    ----------
+    since : int
+        When the scheduler was lost.
+    evidence : str
+        Why its process is believed gone; empty if it may just be out of reach.
+    """
+
+    since: Milliseconds
+    evidence: str = ""
+    connect_at: Milliseconds = 0
+    vote_started_at: Milliseconds = -1
+    first_vote_at: Milliseconds = -1
+    replies: dict[str, tuple[HeardReply, Milliseconds]] = attrs.field(factory=dict)
+    """The newest reply of each instance, and when it arrived."""
+    claim_at: Milliseconds = -1
+    claim_call: int = 0
+    claim_lease: int = 0
+    claim_failed: bool = False
+    """Whether the store did not answer the last claim."""
+
+
+def open_stream(board: InstanceBoard, address: str, purpose: str) -> StreamState:
+    """Open a stream to another instance."""
+    stream_id = board.fresh_id()
+    stream = StreamState(stream_id, purpose, address, opened_at=board.now)
+    board.rights.streams[stream_id] = stream
+    board.emit(OpenStream(stream_id, address, board.tuning.connect_timeout_ms))
+    return stream
+
+
+def hello(board: InstanceBoard) -> Hello:
+    """Return the first message on a stream to another instance."""
+    settings = board.settings
+    return Hello(
+        settings.name,
+        board.incarnation,
+        settings.zone,
+        settings.peers_address,
+        settings.cores,
+        board.rights.rounds.get(settings.zone, 0),
+    )
+
+
+def others_in_roster(board: InstanceBoard) -> list[RosterEntry]:
+    """Return the known instances other than this one and the lost scheduler."""
+    record = board.rights.record
+    lost = record.name if record else ""
+    own = board.settings.name
+    return [one for one in board.rights.roster if one.name not in (own, lost)]
+
+
+def start_vote(search: Search, board: InstanceBoard) -> None:
+    """Ask all known instances whether they hear from the scheduler."""
+    search.vote_started_at = board.now
+    if search.first_vote_at < 0:
+        search.first_vote_at = board.now
+    connected = {
+        stream.address: stream
+        for stream in board.rights.streams.values()
+        if stream.purpose == "peer"
+    }
+    for one in others_in_roster(board):
+        stream = connected.get(one.peers_address)
+        if stream is None:
+            open_stream(board, one.peers_address, "peer")
+        elif stream.open:
+            ask(stream, board)
+
+
+def ask(stream: StreamState, board: InstanceBoard) -> None:
+    """Ask one instance whether it hears from the scheduler."""
+    query = HeardQuery(board.rights.known_revision)
+    board.emit(SendMessage(stream.stream_id, query))
+
+
+def vote_due(search: Search, board: InstanceBoard) -> bool:
+    """Return whether the others are to be asked, or asked again."""
+    started = search.vote_started_at
+    return started < 0 or board.now - started >= board.tuning.vote_ms
+
+
+def fresh_replies(search: Search, board: InstanceBoard) -> list[HeardReply]:
+    """Return the replies that are not older than a silence."""
+    oldest = board.now - board.tuning.silence_ms
+    return [reply for reply, at in search.replies.values() if at >= oldest]
+
+
+def someone_hears(search: Search, board: InstanceBoard) -> bool:
+    """Return whether the scheduler is alive for another instance."""
+    fresh = FRESH_BEATS * board.tuning.beat_ms
+    return any(
+        reply.revision >= board.rights.known_revision and 0 <= reply.silent_ms <= fresh
+        for reply in fresh_replies(search, board)
+    )
+
+
+def majority_lost(search: Search, board: InstanceBoard) -> bool:
+    """Return whether more than half of the instances have lost the scheduler."""
+    others = len(others_in_roster(board)) + 1
+    lost = 1 + sum(reply.silent_ms < 0 for reply in fresh_replies(search, board))
+    return lost * 2 > others
+
+
+def rank(board: InstanceBoard) -> int:
+    """Return this instance's place among possible successors, strongest first."""
+    own = board.settings
+    order = sorted(
+        [(-own.cores, own.name)]
+        + [(-one.cores, one.name) for one in others_in_roster(board)]
+    )
+    return order.index((-own.cores, own.name))
+
+
+def may_claim(search: Search, board: InstanceBoard) -> bool:
+    """Return whether the right may be taken over."""
+    rights = board.rights
+    if board.stopping.requested:
+        return False
+    if someone_hears(search, board):
+        return False
+    if rights.record_absent:
+        return True
+    if not rights.roster:
+        return bool(search.evidence)
+    return search.vote_started_at >= 0 and majority_lost(search, board)
+
+
+def begin_claim(search: Search, board: InstanceBoard) -> None:
+    """Ask for a lease, with which the right is then taken."""
+    search.claim_failed = False
+    search.claim_call = board.fresh_id()
+    operation = GrantLease(board.tuning.right_lease_ms)
+    timeout = board.tuning.store_timeout_ms
+    board.emit(CallStore(search.claim_call, operation, timeout))
+
+
+def take_claim_reply(
+    search: Search, reply: StoreReply, board: InstanceBoard
+) -> RightRecord | None:
+    """Go on with a claim; return the record once this instance has the right."""
+    rights = board.rights
+    search.claim_call = 0
+    own = RightRecord(
+        board.settings.name, board.incarnation, board.settings.peers_address, 0
+    )
+    if isinstance(reply, LeaseGranted):
+        search.claim_lease = reply.lease_id
+        search.claim_call = board.fresh_id()
+        expected = 0 if rights.record_absent else rights.known_revision
+        operation = Transaction(
+            board.documents.right_key, expected, own.to_bytes(), reply.lease_id
+        )
+        board.emit(
+            CallStore(search.claim_call, operation, board.tuning.store_timeout_ms)
+        )
+    elif isinstance(reply, TransactionDone):
+        rights.lease_id = search.claim_lease
+        rights.lease_confirmed_at = board.now
+        return attrs.evolve(own, revision=reply.revision)
+    elif isinstance(reply, TransactionRefused):
+        note_refusal(search, reply, board)
+    elif isinstance(reply, StoreFailure):
+        search.claim_failed = True
+        search.claim_at = board.now + board.tuning.store_retry_ms
+    return None
+
+
+def note_refusal(
+    search: Search, reply: TransactionRefused, board: InstanceBoard
+) -> None:
+    """Learn from a refused claim who has the right."""
+    rights = board.rights
+    search.claim_at = -1
+    item = reply.current
+    if item is None:
+        rights.record_absent = True
+        return
+    rights.record_absent = False
+    record = RightRecord.from_bytes(item.value, item.revision)
+    if record is not None and record.revision > rights.known_revision:
+        rights.record = record
+        rights.known_revision = record.revision
+        search.evidence = ""
+        search.connect_at = 0
+
+
+def zone_members(board: InstanceBoard) -> list[RosterEntry]:
+    """Return the other known instances of the own zone but the lost scheduler."""
+    zone = board.settings.zone
+    return [one for one in others_in_roster(board) if one.zone == zone]
+
+
+def zone_leader(search: Search, board: InstanceBoard) -> RosterEntry | None:
+    """Return who is to schedule for the own zone alone; None if that may not be.
+
+    More than half of the zone's instances have to have lost the scheduler, so that
+    an instance that is cut off alone takes no runners from it.
+    """
+    members = zone_members(board)
+    replies = {reply.name: reply for reply in fresh_replies(search, board)}
+    lost = [
+        one
+        for one in members
+        if one.name in replies and replies[one.name].silent_ms < 0
+    ]
+    if (len(lost) + 1) * 2 <= len(members) + 1:
+        return None
+    own = next(
+        (one for one in board.rights.roster if one.name == board.settings.name), None
+    )
+    if own is None:
+        return None
+    return min([own, *lost], key=lambda one: (-one.cores, one.slot))
--- /dev/null
+++ b/sassafrasloft/metadata/__init__.py
@@ -0,0 +1,37 @@
+"""Calls to the store that holds configuration, rights and the runner list."""
+
+from sassafrasloft.metadata.operations import (
+    GrantLease,
+    Item,
+    KeepLease,
+    LeaseGranted,
+    ListedItems,
+    ListItems,
+    ReadItem,
+    StoreFailure,
+    StoreOperation,
+    StoreReply,
+    Transaction,
+    TransactionDone,
+    TransactionRefused,
+    WatchedChanges,
+    WatchItems,
+)
+
+__all__ = [
+    "GrantLease",
+    "Item",
+    "KeepLease",
+    "LeaseGranted",
+    "ListItems",
+    "ListedItems",
+    "ReadItem",
+    "StoreFailure",
+    "StoreOperation",
+    "StoreReply",
+    "Transaction",
+    "TransactionDone",
+    "TransactionRefused",
+    "WatchItems",
+    "WatchedChanges",
+]
--- /dev/null
+++ b/sassafrasloft/runs/__init__.py
@@ -0,0 +1,43 @@
+"""Runs of tasks on runners: orders, leases, ends, and what is known of runners."""
+
+from sassafrasloft.runs.orders import (
+    EndedRun,
+    HoldReply,
+    HoldRuns,
+    OrderOutcome,
+    RunEnd,
+    RunnerOrder,
+    RunnerReply,
+    RunningRun,
+    StartReply,
+    StartRun,
+    StopReply,
+    StopRun,
+)
+from sassafrasloft.runs.runners import (
+    Run,
+    RunnerEntry,
+    RunnerPool,
+    RunnerView,
+    RunState,
+)
+
+__all__ = [
+    "EndedRun",
+    "HoldReply",
+    "HoldRuns",
+    "OrderOutcome",
+    "Run",
+    "RunEnd",
+    "RunState",
+    "RunnerEntry",
+    "RunnerOrder",
+    "RunnerPool",
+    "RunnerReply",
+    "RunnerView",
+    "RunningRun",
+    "StartReply",
+    "StartRun",
+    "StopReply",
+    "StopRun",
+]
--- /dev/null
+++ b/sassafrasloft/runs/holding.py
@@ -0,0 +1,189 @@
+"""Renewal of the leases on one runner, and what its answers say about it."""
+
+import attrs
+
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.commands import CallRunner
+from sassafrasloft.instance.events import RunnerReplied
+from sassafrasloft.runs.orders import (
+    HoldReply,
+    HoldRuns,
+    OrderOutcome,
+    RunnerOrder,
+    RunningRun,
+)
+from sassafrasloft.runs.runners import Run, RunnerView, RunState
+from sassafrasloft.workload import Resources
+
+LOOK_TIMEOUT_FACTOR = 2
+"""A first contact may take longer than an order: many go out at once."""
+CLOCK_DRIFT = 0.02
+"""Runners' clocks may be this much slow."""
+
+
+@attrs.frozen
+class Call:
+    """An open call to a runner."""
+
+    kind: str
+    runner_id: str
+    run: Run | None
+    sent_at: Milliseconds
+
+
+Calls = dict[int, Call]
+
+
+def call_runner(
+    view: RunnerView,
+    kind: str,
+    order: RunnerOrder,
+    run: Run | None,
+    board: InstanceBoard,
+    calls: Calls,
+    timeout_ms: Milliseconds = 0,
+) -> int:
+    """Send an order and remember what it was for; return the call's id."""
+    call_id = board.fresh_id()
+    calls[call_id] = Call(kind, view.runner_id, run, board.now)
+    timeout_ms = timeout_ms or board.tuning.order_timeout_ms
+    entry = view.entry
+    board.emit(CallRunner(call_id, entry.runner_id, entry.address, order, timeout_ms))
+    return call_id
+
+
+def runner_clock(view: RunnerView, now: int) -> int | None:
+    """Return the runner's clock, never too late; None if it is not known."""
+    return None if view.clock_offset is None else now + view.clock_offset
+
+
+def lease_end(view: RunnerView, board: InstanceBoard) -> int:
+    """Return the end of a lease granted now, on the runner's clock; 0 if unknown."""
+    clock = runner_clock(view, board.now)
+    if clock is None:
+        return 0
+    prolong(view, board)
+    return clock + board.tuning.lease_ms
+
+
+def prolong(view: RunnerView, board: InstanceBoard) -> None:
+    """Note that all runs on a runner may now live for another lease.
+
+    Our estimate of the runner's clock is late by at most one answer's travel.
+    """
+    until = board.now + board.tuning.lease_ms
+    view.lease_until = max(view.lease_until, until)
+    for run in view.runs.values():
+        run.lease_until = max(run.lease_until, until)
+
+
+def look(view: RunnerView, board: InstanceBoard, calls: Calls) -> None:
+    """Ask for the runs on a runner at once, beside a waiting hold."""
+    token = board.rights.token_for(view.entry.zone)
+    prolonged = lease_end(view, board) if view.runs else 0
+    order = HoldRuns(token, prolonged, view.seen_end, 0)
+    view.tried_at = board.now
+    timeout = board.tuning.order_timeout_ms * LOOK_TIMEOUT_FACTOR
+    call_runner(view, "look", order, None, board, calls, timeout)
+
+
+def continue_holding(view: RunnerView, board: InstanceBoard, calls: Calls) -> None:
+    """Keep one waiting hold open on each runner that answers."""
+    if view.hold_call or view.fenced or not view.contacted:
+        return
+    tuning = board.tuning
+    wait_ms = tuning.renewal_ms if view.runs else tuning.longest_idle_wait_ms
+    token = board.rights.token_for(view.entry.zone)
+    lease = lease_end(view, board) if view.runs else 0
+    order = HoldRuns(token, lease, view.seen_end, wait_ms)
+    timeout = wait_ms + tuning.hold_slack_ms
+    view.hold_sent_at = board.now
+    view.hold_call = call_runner(view, "hold", order, None, board, calls, timeout)
+
+
+def keep_holding(view: RunnerView, board: InstanceBoard, calls: Calls) -> None:
+    """Renew leases that an idle hold does not renew, and retry contacts."""
+    tuning = board.tuning
+    if not view.contacted or view.unanswered:
+        if board.now - view.tried_at >= tuning.renewal_ms:
+            look(view, board, calls)
+        return
+    due = view.lease_until - tuning.lease_ms + tuning.renewal_ms + SWEEP_SLACK_MS
+    if view.runs and board.now >= due:
+        look(view, board, calls)
+    continue_holding(view, board, calls)
+
+
+SWEEP_SLACK_MS = 60
+"""A renewal by the waiting hold may be this late before another look is sent."""
+
+
+def note_answer(
+    view: RunnerView, event: RunnerReplied, kind: str, board: InstanceBoard
+) -> None:
+    """Learn the runner's clock and whether it answers."""
+    reply = event.reply
+    silent = reply.outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT)
+    if silent:
+        view.unanswered += 1
+        if view.out_of_touch_since < 0:
+            view.out_of_touch_since = board.now
+        if view.unanswered == 1:
+            board.log(
+                "runner_silent",
+                "WARNING",
+                runner=view.runner_id,
+                order=kind,
+                outcome=reply.outcome.value,
+            )
+        return
+    if view.unanswered:
+        board.log("runner_answers", runner=view.runner_id)
+    view.unanswered = 0
+    if view.contacted or kind in ("look", "hold"):
+        view.out_of_touch_since = -1
+    view.last_answer_at = board.now
+    if reply.runner_clock_ms >= 0:
+        _learn_clock(view, reply.runner_clock_ms, board.now)
+
+
+def _learn_clock(view: RunnerView, clock: Milliseconds, now: Milliseconds) -> None:
+    """Keep the best lower bound of the offset of a runner's clock."""
+    offset = clock - now
+    if view.clock_offset is not None:
+        drift = (now - view.clock_read_at) * CLOCK_DRIFT
+        offset = max(offset, int(view.clock_offset - drift - 1))
+    view.clock_offset = offset
+    view.clock_read_at = now
+
+
+def is_new_process(view: RunnerView, reply: HoldReply) -> bool:
+    """Return whether another process answers than the one that was known."""
+    return 0 <= view.born_at_ms < reply.started_at_ms
+
+
+def in_takeover(view: RunnerView, board: InstanceBoard) -> bool:
+    """Return whether instances may still hand in jobs of an earlier scheduler."""
+    return board.now - view.contacted_at < board.tuning.orphan_grace_ms
+
+
+def note_orphan(view: RunnerView, listed: RunningRun, board: InstanceBoard) -> None:
+    """Keep a run that no known job asked for, until its job arrives or it is stopped."""
+    if listed.task in board.pool.orphans or listed.task in board.pool.live_runs:
+        return
+    run = Run(
+        listed.task,
+        listed.number,
+        view.runner_id,
+        Resources(),
+        0.0,
+        RunState.RUNNING,
+        board.now,
+        accepted_at=board.now,
+        lease_until=board.now + board.settings.longest_lease_ms,
+        adopted=True,
+        percent_done=listed.percent_done,
+    )
+    board.pool.orphans[listed.task] = run
+    view.add(run)
--- /dev/null
+++ b/sassafrasloft/runs/runners.py
@@ -0,0 +1,193 @@
+"""What a scheduler knows of runners and of the runs on them."""
+
+from enum import StrEnum
+
+import attrs
+
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.workload import Resources
+
+
+@attrs.frozen
+class RunnerEntry:
+    """A runner as it registers itself.
+
+    Parameters
+    ----------
+    runner_id : str
+        Stays with a runner that restarts.
+    service, address, zone : str
+    draining : bool
+        Whether it is about to leave.
+    capacity : Resources
+    labels : tuple of str
+        Its kind and its rack.
+    started_at_ms : int
+        When its process started, since 1970; -1 if unknown.
+    remaining_ms : int
+        While draining: the least time that is left.
+    """
+
+    runner_id: str
+    service: str
+    address: str
+    zone: str
+    draining: bool
+    capacity: Resources
+    labels: tuple[str, ...] = ()
+    started_at_ms: Milliseconds = -1
+    remaining_ms: Milliseconds = 0
+
+
+class RunState(StrEnum):
+    """How far a run is, as its scheduler believes."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    UNCERTAIN = "uncertain"
+    """The start got no answer: it may run, or start later."""
+    STOPPING = "stopping"
+
+
+@attrs.define(eq=False)
+class Run:
+    """One start of a task on a runner."""
+
+    task: str
+    number: int
+    runner_id: str
+    demand: Resources
+    expected_ms: float
+    state: RunState
+    sent_at: Milliseconds
+    accepted_at: Milliseconds = -1
+    stop_confirmed_at: Milliseconds = -1
+    lease_until: Milliseconds = 0
+    """By our clock, at the latest; then the runner has ended the run."""
+    percent_done: float = 0.0
+    adopted: bool = False
+    """Whether an earlier scheduler started it."""
+
+
+@attrs.define(eq=False)
+class RunnerView:
+    """A runner, its room and the runs that are believed to be on it."""
+
+    entry: RunnerEntry
+    free: Resources
+    runs: dict[str, Run] = attrs.field(factory=dict)
+    contacted: bool = False
+    """Whether it has answered under the fencing token in force."""
+    contacted_at: Milliseconds = 0
+    out_of_touch_since: Milliseconds = -1
+    """When its answers ended, or its token changed; -1 while it answers."""
+    clock_offset: Milliseconds | None = None
+    """The runner's clock less ours at `clock_read_at`, never too high."""
+    born_at_ms: Milliseconds = -1
+    seen_end: int = 0
+    lease_until: Milliseconds = 0
+    last_answer_at: Milliseconds = -1
+    hold_call: int = 0
+    hold_sent_at: Milliseconds = 0
+    tried_at: Milliseconds = -1_000_000
+    """When a look was last sent."""
+    clock_read_at: Milliseconds = 0
+    fenced: bool = False
+    missing_since: Milliseconds = -1
+    unusable_until: Milliseconds = 0
+    failing_jobs: set[str] = attrs.field(factory=set)
+    """Jobs with failed runs here since the last run that ended as done."""
+    quarantines: int = 0
+    slowness: float = 1.0
+    """Durations here over expected durations, smoothed."""
+    slowness_at: Milliseconds = 0
+    unanswered: int = 0
+    """Orders in a row without an answer."""
+
+    @property
+    def runner_id(self) -> str:
+        """The runner's id."""
+        return self.entry.runner_id
+
+    def add(self, run: Run) -> None:
+        """Charge a run against the room."""
+        self.runs[run.task] = run
+        self.free = self.free.minus(run.demand)
+
+    def remove(self, run: Run) -> None:
+        """Free the room of a run that has ended."""
+        if self.runs.pop(run.task, None) is not None:
+            self.free = self.free.plus(run.demand)
+
+
+@attrs.define(eq=False)
+class RunnerPool:
+    """All runners that this instance may give orders to.
+
+    Parameters
+    ----------
+    active : bool
+        Whether this instance schedules.
+    zone : str
+        The only availability zone that it schedules for; empty for all.
+    """
+
+    active: bool = False
+    zone: str = ""
+    entries: dict[str, RunnerEntry] = attrs.field(factory=dict)
+    """The newest list of runners, kept whether or not this instance schedules."""
+    entries_read_at: Milliseconds = -1
+    runners: dict[str, RunnerView] = attrs.field(factory=dict)
+    live_runs: dict[str, Run] = attrs.field(factory=dict)
+    """By task; at most one run of a task is on a live runner."""
+    orphans: dict[str, Run] = attrs.field(factory=dict)
+    """Runs that a runner listed and that no known job asked for."""
+    activated_at: Milliseconds = 0
+    changed: bool = False
+    """Whether room or health changed since tasks were last placed."""
+
+    def usable(self, view: RunnerView, now: Milliseconds) -> bool:
+        """Return whether new runs may be placed on a runner."""
+        return (
+            view.contacted
+            and not view.fenced
+            and not view.entry.draining
+            and view.missing_since < 0
+            and view.unusable_until <= now
+            and view.unanswered == 0
+            and not (view.quarantines and view.runs)
+        )
+
+    def reserve(self, run: Run) -> None:
+        """Charge a new run; the task must have no other run."""
+        if run.task in self.live_runs or run.task in self.orphans:
+            raise ValueError(f"task {run.task} has a run already")
+        self.live_runs[run.task] = run
+        self.runners[run.runner_id].add(run)
+
+    def adopt(self, task: str, demand: Resources, expected_ms: float) -> Run:
+        """Take over a run that an earlier scheduler started."""
+        run = self.orphans.pop(task)
+        self.live_runs[task] = run
+        view = self.runners[run.runner_id]
+        view.remove(run)
+        run.demand = demand
+        run.expected_ms = expected_ms
+        view.add(run)
+        return run
+
+    def unknown_runs_possible(self, now: Milliseconds, lapse_ms: Milliseconds) -> bool:
+        """Return whether a runner may have runs that are not known here.
+
+        Parameters
+        ----------
+        now : Milliseconds
+        lapse_ms : Milliseconds
+            After this without contact its leases have ended, unless another
+            scheduler holds them.
+        """
+        return any(
+            view.fenced or 0 <= now - view.out_of_touch_since <= lapse_ms
+            for view in self.runners.values()
+            if view.out_of_touch_since >= 0 or view.fenced
+        )
--- /dev/null
+++ b/sassafrasloft/scheduling/controller.py
@@ -0,0 +1,543 @@
+"""Takes jobs, places their tasks and answers."""
+
+from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.commands import SendMessage
+from sassafrasloft.instance.controllers import CONTROLLERS
+from sassafrasloft.instance.events import (
+    FollowerLost,
+    GatewayMessage,
+    RightGained,
+    RightLost,
+    RunAccepted,
+    RunFinished,
+    RunOverdue,
+    SchedulerMessage,
+    StopTask,
+    TaskPlaced,
+    TimerFired,
+)
+from sassafrasloft.instance.messages import (
+    CancelJob,
+    Handover,
+    JobAnswer,
+    JobState,
+    Message,
+    NotScheduling,
+    QueryJob,
+    QueryQueue,
+    QueueState,
+    SubmitJob,
+)
+from sassafrasloft.invariants import Invariant
+from sassafrasloft.runs import Run, RunEnd, RunState
+from sassafrasloft.scheduling.admission import (
+    ADMISSIONS,
+    Refusal,
+    retry_after_s,
+)
+from sassafrasloft.scheduling.jobs import (
+    JobOutcome,
+    ScheduledJob,
+    ScheduledTask,
+    TaskState,
+)
+from sassafrasloft.scheduling.ordering import ORDERS
+from sassafrasloft.scheduling.placement import PLACEMENTS, Candidate, candidates
+from sassafrasloft.scheduling.stragglers import worth_moving
+
+WAIT_TIMER = "scheduling.wait"
+PRUNE_TIMER = "scheduling.prune"
+PRUNE_MS = 1_000
+"""Period of forgetting old answers, in milliseconds."""
+LOCAL = 0
+"""The stream id that stands for this instance's own callers."""
+
+
+@CONTROLLERS.register("scheduling", order=50)
+class SchedulingController(Controller):
+    """Owns `board.jobs`.
+
+    Parameters
+    ----------
+    order, placement, admission : str
+        Names of policies.
+    """
+
+    handles = (
+        SchedulerMessage,
+        FollowerLost,
+        RunAccepted,
+        RunFinished,
+        RunOverdue,
+        RightGained,
+        RightLost,
+        TimerFired,
+    )
+
+    def __init__(
+        self,
+        order: str = "priority",
+        placement: str = "best_fit",
+        admission: str = "share_of_objective",
+    ) -> None:
+        self._order = ORDERS.create(order)
+        self._placement = PLACEMENTS.create(placement)
+        self._admission = ADMISSIONS.create(admission)
+        self._wait_timer_at = -1
+
+    def react(self, event: Event, board: InstanceBoard) -> None:
+        """Handle jobs, ends of runs and changes of the right."""
+        if isinstance(event, SchedulerMessage):
+            self._take_message(event.stream_id, event.message, board)
+        elif isinstance(event, RunFinished):
+            self._take_end(event, board)
+        elif isinstance(event, RunAccepted):
+            self._take_accepted(event.run, board)
+        elif isinstance(event, RunOverdue):
+            self._consider_move(event, board)
+        elif isinstance(event, TimerFired):
+            if event.name == WAIT_TIMER:
+                self._wait_timer_at = -1
+                board.jobs.changed = True
+            elif event.name == PRUNE_TIMER:
+                self._prune(board)
+        elif isinstance(event, FollowerLost):
+            self._drop_follower(event, board)
+        elif isinstance(event, RightLost):
+            board.jobs.open.clear()
+            board.jobs.inherited.clear()
+        elif isinstance(event, RightGained):
+            board.set_timer(PRUNE_TIMER, PRUNE_MS)
+
+    def settle(self, board: InstanceBoard) -> None:
+        """Place waiting tasks if room or the queue has changed."""
+        if not board.pool.active:
+            return
+        if not (board.jobs.changed or board.pool.changed):
+            return
+        board.jobs.changed = False
+        board.pool.changed = False
+        self._place_all(board)
+
+    # Messages
+
+    def _take_message(
+        self, stream_id: int, message: Message, board: InstanceBoard
+    ) -> None:
+        if isinstance(message, Handover):
+            for job in message.jobs:
+                board.jobs.inherited[job.job_id] = frozenset(job.done)
+            return
+        if not board.pool.active:
+            revision = board.rights.known_revision
+            reply = NotScheduling(board.settings.name, revision)
+            self._send(stream_id, reply, board)
+        elif isinstance(message, SubmitJob):
+            self._submit(stream_id, message, board)
+        elif isinstance(message, CancelJob):
+            self._cancel(stream_id, message, board)
+        elif isinstance(message, QueryJob):
+            state = self._state_of(message.job_id, board)
+            self._send(stream_id, JobState(message.job_id, state), board)
+        elif isinstance(message, QueryQueue):
+            pending = sum(
+                not job.offered and job.route.name == message.route
+                for job in board.jobs.open.values()
+            )
+            self._send(stream_id, QueueState(message.route, pending), board)
+
+    def _send(self, stream_id: int, message: Message, board: InstanceBoard) -> None:
+        if stream_id == LOCAL:
+            board.post(GatewayMessage(message))
+        else:
+            board.emit(SendMessage(stream_id, message))
+
+    def _state_of(self, job_id: str, board: InstanceBoard) -> str:
+        job = board.jobs.open.get(job_id)
+        if job is not None:
+            return "running" if job.offered else "queued"
+        known = board.jobs.answers.get(job_id)
+        return known[0].value if known else ""
+
+    # Jobs
+
+    def _submit(self, stream_id: int, message: SubmitJob, board: InstanceBoard) -> None:
+        job_id = message.job.job_id
+        known = board.jobs.open.get(job_id)
+        if known is not None:
+            known.followers.add(stream_id)
+            known.note(board.now, "handed_in_again")
+            return
+        kept = board.jobs.answers.get(job_id)
+        if kept is not None and kept[0] in (JobOutcome.COMPLETED, JobOutcome.FAILED):
+            self._send(stream_id, JobAnswer(job_id, kept[0].value, "kept"), board)
+            return
+        route = board.configuration.route_named(message.route)
+        if route is None:
+            answer = JobAnswer(job_id, JobOutcome.NO_SUCH_ROUTE.value, message.route)
+            self._send(stream_id, answer, board)
+            return
+        self._admit(stream_id, message, route, board)
+
+    def _admit(
+        self, stream_id: int, message: SubmitJob, route: object, board: InstanceBoard
+    ) -> None:
+        job = self._create_job(message, route, board)
+        job.followers.add(stream_id)
+        board.jobs.open[job.job_id] = job
+        board.jobs.changed = True
+        board.count("jobs_taken")
+        self._inherit(job, board)
+        refusal = None
+        if not job.offered and not job.resubmitted:
+            refusal = self._admission.on_arrival(job, board)
+        if refusal is not None:
+            self._refuse(job, refusal, board)
+
+    def _create_job(
+        self, message: SubmitJob, route: object, board: InstanceBoard
+    ) -> ScheduledJob:
+        chain = board.estimates.expect(route.name, message.job.chain_ms())
+        job = ScheduledJob(
+            message.job,
+            route,
+            board.now - message.age_ms,
+            board.now + message.remaining_ms,
+            route.objective_ms(chain),
+            chain,
+            board.now,
+            resubmitted=message.resubmitted,
+        )
+        job.create_tasks()
+        job.note(
+            board.now,
+            "admitted",
+            f"route={route.name} version={board.configuration.current.version} "
+            f"age_ms={message.age_ms} tasks={len(job.tasks)} "
+            f"objective_ms={job.objective_ms:.0f} resubmitted={message.resubmitted}",
+        )
+        return job
+
+    def _inherit(self, job: ScheduledJob, board: InstanceBoard) -> None:
+        """Go on from what an earlier scheduler did for the job."""
+        for name in sorted(board.jobs.inherited.pop(job.job_id, ())):
+            task = job.tasks.get(name)
+            if task is not None and task.state is TaskState.WAITING:
+                job.offered = True
+                if job.finish_task(task):
+                    self._end(job, JobOutcome.COMPLETED, "inherited", board)
+                    return
+        for task in list(job.waiting):
+            if task.name in board.pool.orphans:
+                self._adopt(job, task, board)
+
+    def _adopt(
+        self, job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
+    ) -> None:
+        step = job.request.steps[task.step]
+        expected = board.estimates.expect(job.route.name, step.estimate_ms)
+        run = board.pool.adopt(task.name, step.demand, expected)
+        task.run = run
+        task.starts = max(task.starts, run.number)
+        task.state = TaskState.PLACED
+        job.waiting.remove(task)
+        job.offered = True
+        job.started = True
+        board.count("runs_adopted")
+        job.note(board.now, "adopted", f"{task.name} on {run.runner_id}")
+
+    def _cancel(self, stream_id: int, message: CancelJob, board: InstanceBoard) -> None:
+        job = board.jobs.open.get(message.job_id)
+        state = self._state_of(message.job_id, board)
+        if job is not None:
+            job.followers.discard(stream_id)
+            if message.wants_answer or not job.followers:
+                self._end(job, JobOutcome.CANCELLED, "cancelled", board)
+                state = JobOutcome.CANCELLED.value
+        if message.wants_answer:
+            self._send(stream_id, JobState(message.job_id, state), board)
+
+    def _drop_follower(self, event: FollowerLost, board: InstanceBoard) -> None:
+        """Stop jobs of an instance that may have handed them to another scheduler.
+
+        If the instance's process is gone, its callers send their jobs again, and
+        find the work that was done meanwhile.
+        """
+        for job in list(board.jobs.open.values()):
+            if event.stream_id not in job.followers:
+                continue
+            job.followers.discard(event.stream_id)
+            if event.silent and not job.followers:
+                self._end(job, JobOutcome.CANCELLED, "its instance is silent", board)
+
+    def _refuse(
+        self, job: ScheduledJob, refusal: Refusal, board: InstanceBoard
+    ) -> None:
+        if job.resubmitted or job.started:
+            outcome = JobOutcome.MAY_HAVE_RUN
+        else:
+            outcome = JobOutcome.REFUSED
+            never_ran = not job.started and all(
+                task.run is None for task in job.tasks.values()
+            )
+            board.auditor.check(
+                Invariant.NOT_RUN_IS_TRUE, never_ran, f"job {job.job_id} has begun"
+            )
+        self._end(job, outcome, refusal.reason, board, refusal.retry_after_s)
+
+    def _end(
+        self,
+        job: ScheduledJob,
+        outcome: JobOutcome,
+        reason: str,
+        board: InstanceBoard,
+        retry_after_s: int = 0,
+    ) -> None:
+        del board.jobs.open[job.job_id]
+        board.jobs.answers[job.job_id] = (outcome, board.now)
+        board.jobs.changed = True
+        for task in job.tasks.values():
+            if task.run is not None:
+                board.post(StopTask(task.run))
+        job.note(board.now, outcome.value, reason)
+        answer = JobAnswer(job.job_id, outcome.value, reason, retry_after_s)
+        for stream_id in sorted(job.followers):
+            self._send(stream_id, answer, board)
+        self._record(job, outcome, reason, board)
+
+    def _record(
+        self,
+        job: ScheduledJob,
+        outcome: JobOutcome,
+        reason: str,
+        board: InstanceBoard,
+    ) -> None:
+        duration = board.now - job.arrived_at
+        board.count(f"jobs_{outcome.value}")
+        board.measure(f"job_{outcome.value}", duration)
+        failed = outcome is not JobOutcome.COMPLETED
+        late = duration > job.objective_ms
+        if failed or late:
+            for at, event, detail in job.trail:
+                board.log_request(
+                    f"job_{event}",
+                    failed=True,
+                    job=job.job_id,
+                    detail=detail,
+                    ago_ms=board.now - at,
+                )
+        board.log_request(
+            "job_ended",
+            failed=failed or late,
+            job=job.job_id,
+            route=job.route.name,
+            outcome=outcome.value,
+            reason=reason,
+            duration_ms=duration,
+            objective_ms=round(job.objective_ms),
+            starts=sum(task.starts for task in job.tasks.values()),
+        )
+
+    def _prune(self, board: InstanceBoard) -> None:
+        if not board.pool.active:
+            return
+        board.set_timer(PRUNE_TIMER, PRUNE_MS)
+        oldest = board.now - board.tuning.answer_retention_ms
+        for job_id, (_, at) in list(board.jobs.answers.items()):
+            if at > oldest:
+                break
+            del board.jobs.answers[job_id]
+        if board.now - board.pool.activated_at > board.tuning.answer_retention_ms:
+            board.jobs.inherited.clear()
+
+    # Runs
+
+    def _job_and_task(
+        self, run: Run, board: InstanceBoard
+    ) -> tuple[ScheduledJob, ScheduledTask] | None:
+        job = board.jobs.open.get(run.task.partition(".")[0])
+        if job is None:
+            return None
+        task = job.tasks.get(run.task)
+        if task is None or task.run is not run:
+            return None
+        return job, task
+
+    def _take_accepted(self, run: Run, board: InstanceBoard) -> None:
+        found = self._job_and_task(run, board)
+        if found is not None:
+            found[0].started = True
+
+    def _take_end(self, event: RunFinished, board: InstanceBoard) -> None:
+        board.jobs.changed = True
+        found = self._job_and_task(event.run, board)
+        if found is None:
+            return
+        job, task = found
+        run = event.run
+        if event.end is not None:
+            job.started = True
+        if event.end is RunEnd.DONE:
+            self._learn(job, task, run, board)
+            if job.finish_task(task):
+                self._end(job, JobOutcome.COMPLETED, "", board)
+            return
+        job.note(
+            board.now,
+            "run_over",
+            f"{task.name} run={run.number} runner={run.runner_id} "
+            f"end={event.end.value if event.end else 'not begun'}: {event.reason}",
+        )
+        if event.end is RunEnd.FAILED:
+            task.failures += 1
+            task.failed_on.add(run.runner_id)
+            if task.failures >= job.route.most_attempts:
+                task.run = None
+                self._end(job, JobOutcome.FAILED, f"{task.name} failed", board)
+                return
+        job.return_task(task)
+
+    def _learn(
+        self, job: ScheduledJob, task: ScheduledTask, run: Run, board: InstanceBoard
+    ) -> None:
+        if run.adopted or run.accepted_at < 0:
+            return
+        declared = job.request.steps[task.step].estimate_ms
+        board.estimates.learn(job.route.name, declared, board.now - run.accepted_at)
+
+    def _consider_move(self, event: RunOverdue, board: InstanceBoard) -> None:
+        found = self._job_and_task(event.run, board)
+        if found is None or event.run.state is not RunState.RUNNING:
+            return
+        job, task = found
+        if worth_moving(job, task, event, board):
+            board.count("runs_moved")
+            job.note(
+                board.now,
+                "moved",
+                f"{task.name} from {event.run.runner_id}, "
+                f"remaining_ms={event.remaining_ms:.0f}",
+            )
+            board.post(StopTask(event.run))
+
+    # Placing
+
+    def _place_all(self, board: InstanceBoard) -> None:
+        waiting = [job for job in board.jobs.open.values() if job.waiting]
+        if not waiting:
+            return
+        now = board.now
+        order = self._order
+        waiting.sort(key=lambda job: order.key(job, now))
+        offers: dict[str, list[Candidate]] = {}
+        next_limit = float("inf")
+        for job in waiting:
+            service = job.route.service
+            if service not in offers:
+                offers[service] = candidates(board.pool, service, now)
+            self._place_job(job, offers[service], board)
+            limit = self._limit_of(job, board)
+            if limit is None:
+                continue
+            if now >= limit:
+                refusal = Refusal("no room in time", retry_after_s(board))
+                self._refuse(job, refusal, board)
+            else:
+                next_limit = min(next_limit, limit)
+        self._set_wait_timer(next_limit, board)
+
+    def _limit_of(self, job: ScheduledJob, board: InstanceBoard) -> float | None:
+        """Return when a job that waits is to be refused; None if it is not."""
+        if not job.waiting:
+            return None
+        if not job.offered:
+            if job.resubmitted:
+                return job.deadline_at
+            return self._admission.latest_start(job, board)
+        if any(task.run is not None for task in job.tasks.values()):
+            return None
+        if job.started:
+            return job.deadline_at - job.work_ms
+        return self._admission.latest_start(job, board)
+
+    def _set_wait_timer(self, limit: float, board: InstanceBoard) -> None:
+        if limit == float("inf"):
+            return
+        at = int(limit) + 1
+        if self._wait_timer_at != at:
+            self._wait_timer_at = at
+            board.set_timer(WAIT_TIMER, at - board.now)
+
+    def _may_start(self, job: ScheduledJob, board: InstanceBoard) -> bool:
+        """Return whether no earlier scheduler can still have runs of the job.
+
+        A runner that has not answered may go on with them until its leases end.
+        """
+        if not job.resubmitted:
+            return True
+        tuning = board.tuning
+        lapse = board.settings.longest_lease_ms + tuning.lapse_margin_ms
+        silence = tuning.silence_ms
+        return not board.pool.unknown_runs_possible(board.now, lapse + silence)
+
+    def _place_job(
+        self, job: ScheduledJob, offers: list[Candidate], board: InstanceBoard
+    ) -> None:
+        if not offers or not self._may_start(job, board):
+            return
+        largest = max(offer.view.free.millicores for offer in offers)
+        latest_end = int(job.arrived_at + job.objective_ms)
+        if board.now + job.work_ms > latest_end:
+            latest_end = job.deadline_at
+        for task in list(job.waiting):
+            demand = job.request.steps[task.step].demand
+            if demand.millicores > largest:
+                continue
+            if task.name in board.pool.live_runs:
+                continue
+            if task.name in board.pool.orphans:
+                self._adopt(job, task, board)
+                continue
+            offer = self._placement.choose(offers, job, task, latest_end, board.now)
+            if offer is not None:
+                self._start(job, task, offer, board)
+                largest = max(one.view.free.millicores for one in offers)
+
+    def _start(
+        self,
+        job: ScheduledJob,
+        task: ScheduledTask,
+        offer: Candidate,
+        board: InstanceBoard,
+    ) -> None:
+        step = job.request.steps[task.step]
+        task.starts += 1
+        expected = board.estimates.expect(job.route.name, step.estimate_ms)
+        run = Run(
+            task.name,
+            task.starts,
+            offer.view.runner_id,
+            step.demand,
+            expected,
+            RunState.STARTING,
+            board.now,
+        )
+        board.auditor.check(
+            Invariant.ONE_RUN_AT_A_TIME,
+            task.name not in board.pool.live_runs,
+            f"task {task.name} has a run",
+        )
+        board.pool.reserve(run)
+        job.waiting.remove(task)
+        task.state = TaskState.PLACED
+        task.run = run
+        job.offered = True
+        job.note(
+            board.now,
+            "placed",
+            f"{task.name} run={run.number} runner={run.runner_id} "
+            f"free={offer.view.free.millicores} slowness={offer.slowness:.1f} "
+            f"answer_age_ms={board.now - offer.view.last_answer_at}",
+        )
+        board.post(TaskPlaced(run, job.request.spec))
--- /dev/null
+++ b/sassafrasloft/scheduling/jobs.py
@@ -0,0 +1,148 @@
+"""Jobs as the scheduler keeps them."""
+
+from enum import StrEnum
+
+import attrs
+
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.runs import Run
+from sassafrasloft.workload import JobRequest, Route, task_name
+
+
+class JobOutcome(StrEnum):
+    """What became of a job."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    REFUSED = "refused"
+    """No task of it has started, and none will."""
+    MAY_HAVE_RUN = "may_have_run"
+    NO_SUCH_ROUTE = "no_such_route"
+
+
+class TaskState(StrEnum):
+    """How far a task is."""
+
+    BLOCKED = "blocked"
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+@attrs.define(eq=False)
+class ScheduledTask:
+    """A task of an open job."""
+
+    name: str
+    step: int
+    state: TaskState = TaskState.BLOCKED
+    run: Run | None = None
+    starts: int = 0
+    """The highest run number used."""
+    failures: int = 0
+    failed_on: set[str] = attrs.field(factory=set)
+    not_before: Milliseconds = 0
+
+
+@attrs.define(eq=False)
+class ScheduledJob:
+    """An open job.
+
+    Parameters
+    ----------
+    arrived_at : int
+        When the caller's request arrived at its instance, by our clock.
+    deadline_at : int
+        When the caller stops waiting.
+    objective_ms : float
+        Within which time from arrival it is in time.
+    work_ms : float
+        The estimated duration of its longest chain.
+    """
+
+    request: JobRequest
+    route: Route
+    arrived_at: Milliseconds
+    deadline_at: Milliseconds
+    objective_ms: float
+    work_ms: float
+    accepted_at: Milliseconds
+    followers: set[int] = attrs.field(factory=set)
+    """Streams whose callers wait for the answer."""
+    tasks: dict[str, ScheduledTask] = attrs.field(factory=dict)
+    unfinished: list[int] = attrs.field(factory=list)
+    """Tasks not done, by step."""
+    waiting: list[ScheduledTask] = attrs.field(factory=list)
+    offered: bool = False
+    """Whether a start of a task was sent to a runner."""
+    started: bool = False
+    """Whether a runner has accepted a start, or may have."""
+    resubmitted: bool = False
+    trail: list[tuple[Milliseconds, str, str]] = attrs.field(factory=list)
+
+    @property
+    def job_id(self) -> str:
+        """The caller's id of the job."""
+        return self.request.job_id
+
+    @property
+    def priority(self) -> int:
+        """0 is the most urgent."""
+        return self.route.priority
+
+    def create_tasks(self) -> None:
+        """Create all tasks; those of steps without predecessors wait."""
+        for number, step in enumerate(self.request.steps):
+            self.unfinished.append(step.count)
+            for index in range(step.count):
+                name = task_name(self.job_id, number, index)
+                self.tasks[name] = ScheduledTask(name, number)
+        self.release_steps()
+
+    def release_steps(self) -> None:
+        """Let tasks wait whose predecessors are all done."""
+        for task in self.tasks.values():
+            if task.state is not TaskState.BLOCKED:
+                continue
+            after = self.request.steps[task.step].after
+            if all(self.unfinished[one] == 0 for one in after):
+                task.state = TaskState.WAITING
+                self.waiting.append(task)
+
+    def finish_task(self, task: ScheduledTask) -> bool:
+        """Note a task as done; return whether the job is complete."""
+        if task.state is TaskState.WAITING:
+            self.waiting.remove(task)
+        task.state = TaskState.DONE
+        task.run = None
+        self.unfinished[task.step] -= 1
+        if self.unfinished[task.step] == 0:
+            self.release_steps()
+        return not any(self.unfinished)
+
+    def return_task(self, task: ScheduledTask) -> None:
+        """Let a task wait again after its run is over."""
+        task.state = TaskState.WAITING
+        task.run = None
+        self.waiting.append(task)
+
+    def note(self, now: Milliseconds, event: str, detail: str = "") -> None:
+        """Keep a decision for the log of this job."""
+        if len(self.trail) < MAX_TRAIL:
+            self.trail.append((now, event, detail))
+
+
+MAX_TRAIL = 80
+"""Decisions kept for one job: a job of 32 tasks with a few retries fits."""
+
+
+@attrs.define(eq=False)
+class JobTable:
+    """Open jobs in the order of their arrival, and answers kept for callers."""
+
+    open: dict[str, ScheduledJob] = attrs.field(factory=dict)
+    answers: dict[str, tuple[JobOutcome, Milliseconds]] = attrs.field(factory=dict)
+    inherited: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    """Tasks done under an earlier scheduler, by job."""
+    changed: bool = False
--- /dev/null
+++ b/sassafrasloft/scheduling/placement.py
@@ -0,0 +1,134 @@
+"""Which runner a task goes to.
+
+Load pattern: tasks of 8 to 20 cores on runners of 32 or 48: what is left on a
+runner is often too little for another task.
+"""
+
+from abc import ABC, abstractmethod
+
+import attrs
+
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.runs import RunnerPool, RunnerView
+from sassafrasloft.runs.health import current_slowness
+from sassafrasloft.scheduling.jobs import ScheduledJob, ScheduledTask
+from sassafrasloft.scheduling.registry import PolicyRegistry
+from sassafrasloft.workload import StepRequest
+
+SLOW = 1.5
+"""Above the spread of sound runners and of estimates."""
+SLOW_PENALTY = 40_000
+"""Millicores of remaining room for each unit of slowness: a slow runner is taken
+only if no sound one has room."""
+REMOTE_PENALTY = 20_000
+"""Millicores of remaining room for a runner away from the task's data."""
+FAILED_PENALTY = 80_000
+"""Millicores of remaining room for a runner where the task has failed before."""
+
+
+@attrs.frozen
+class Candidate:
+    """A runner that may get work now."""
+
+    view: RunnerView
+    slowness: float
+
+
+def candidates(pool: RunnerPool, service: str, now: Milliseconds) -> list[Candidate]:
+    """Return the runners of a service that may get work, in a fixed order."""
+    return [
+        Candidate(view, current_slowness(view, now))
+        for view in pool.runners.values()
+        if view.entry.service == service and pool.usable(view, now)
+    ]
+
+
+class Placement(ABC):
+    """Chooses a runner."""
+
+    @abstractmethod
+    def choose(
+        self,
+        offers: list[Candidate],
+        job: ScheduledJob,
+        task: ScheduledTask,
+        latest_end: Milliseconds,
+        now: Milliseconds,
+    ) -> Candidate | None:
+        """Return the runner for a task, or None if none has room."""
+
+
+PLACEMENTS: PolicyRegistry[Placement] = PolicyRegistry("placement")
+
+
+@PLACEMENTS.register("first_fit")
+class FirstFit(Placement):
+    """Takes the first runner with room; the baseline."""
+
+    def choose(
+        self,
+        offers: list[Candidate],
+        job: ScheduledJob,
+        task: ScheduledTask,
+        latest_end: Milliseconds,
+        now: Milliseconds,
+    ) -> Candidate | None:
+        """Return the first runner with room."""
+        step = job.request.steps[task.step]
+        for offer in offers:
+            if allowed(offer.view, job, task, step):
+                return offer
+        return None
+
+
+@PLACEMENTS.register("best_fit")
+class BestFit(Placement):
+    """Takes the runner on which the least room remains; slow runners last."""
+
+    def choose(
+        self,
+        offers: list[Candidate],
+        job: ScheduledJob,
+        task: ScheduledTask,
+        latest_end: Milliseconds,
+        now: Milliseconds,
+    ) -> Candidate | None:
+        """Return the runner with the least remaining room."""
+        step = job.request.steps[task.step]
+        millicores = step.demand.millicores
+        best: Candidate | None = None
+        best_cost = float("inf")
+        for offer in offers:
+            view = offer.view
+            cost = view.free.millicores - millicores
+            if cost < 0 or not allowed(view, job, task, step):
+                continue
+            if offer.slowness > SLOW:
+                if now + step.estimate_ms * offer.slowness > latest_end:
+                    continue
+                cost += SLOW_PENALTY * offer.slowness
+            if step.preferred_rack and step.preferred_rack not in view.entry.labels:
+                cost += REMOTE_PENALTY
+            if view.runner_id in task.failed_on:
+                cost += FAILED_PENALTY
+            if cost < best_cost:
+                best_cost = cost
+                best = offer
+        return best
+
+
+def allowed(
+    view: RunnerView, job: ScheduledJob, task: ScheduledTask, step: StepRequest
+) -> bool:
+    """Return whether a runner has room for a task and may run it."""
+    if not step.demand.fits(view.free):
+        return False
+    if step.required_label and step.required_label not in view.entry.labels:
+        return False
+    if view.quarantines and view.runs:
+        return False
+    if step.most_per_runner:
+        prefix = f"{job.job_id}.0.{task.step}."
+        here = sum(1 for name in view.runs if name.startswith(prefix))
+        return here < step.most_per_runner
+    return True
--- /dev/null
+++ b/sassafrasloft/scheduling/stragglers.py
@@ -0,0 +1,35 @@
+"""Which overdue runs are started again elsewhere.
+
+Load patterns: runners that turn slow, and runners on which tasks stand still.
+"""
+
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.events import RunOverdue
+from sassafrasloft.scheduling.jobs import ScheduledJob, ScheduledTask
+
+MOST_STARTS = 4
+"""Of one task by moving; more would only spread the load."""
+GAIN_FACTOR = 1.3
+"""A new run must be expected to end this much sooner than the old one."""
+STOP_MS = 60
+"""A runner takes up to 50 to stop a run, and the order has to travel."""
+
+
+def worth_moving(
+    job: ScheduledJob, task: ScheduledTask, overdue: RunOverdue, board: InstanceBoard
+) -> bool:
+    """Return whether a new run would end sooner, and before the caller leaves."""
+    if task.starts >= MOST_STARTS:
+        return False
+    again = overdue.run.expected_ms + STOP_MS
+    if overdue.remaining_ms < GAIN_FACTOR * again:
+        return False
+    if board.now + again > job.deadline_at:
+        return False
+    demand = overdue.run.demand
+    return any(
+        demand.fits(view.free)
+        for view in board.pool.runners.values()
+        if view.runner_id != overdue.run.runner_id
+        and board.pool.usable(view, board.now)
+    )
--- /dev/null
+++ b/sassafrasloft/workload/__init__.py
@@ -0,0 +1,25 @@
+"""Jobs as callers hand them in, and the routes that they arrive by."""
+
+from sassafrasloft.workload.configuration import (
+    EMPTY_CONFIGURATION,
+    HttpLimits,
+    Route,
+    ServiceConfiguration,
+    ServicePolicy,
+)
+from sassafrasloft.workload.jobs import JobRequest, Resources, StepRequest, task_name
+from sassafrasloft.workload.packing_form import from_packed, to_packed
+
+__all__ = [
+    "EMPTY_CONFIGURATION",
+    "HttpLimits",
+    "JobRequest",
+    "Resources",
+    "Route",
+    "ServiceConfiguration",
+    "ServicePolicy",
+    "StepRequest",
+    "from_packed",
+    "task_name",
+    "to_packed",
+]
--- /dev/null
+++ b/sassafrasloft/workload/configuration.py
@@ -0,0 +1,93 @@
+"""The operators' configuration of routes and services."""
+
+import attrs
+
+from sassafrasloft.clock import Milliseconds
+
+
+@attrs.frozen
+class Route:
+    """Where callers hand in jobs of one kind, and how these are treated.
+
+    Parameters
+    ----------
+    name, host, prefix : str
+        The host name and the longest matching path prefix select the route.
+    service : str
+        Whose runners run the tasks.
+    priority : int
+        0 is the most urgent.
+    most_attempts : int
+        A task that has failed this often fails its job.
+    slack_factor : float
+        The objective of a job is this many times its longest chain of work...
+    target_latency_ms : Milliseconds
+        ...and this time.
+    timeout_ms : Milliseconds
+        How long a caller waits at most.
+    needs_advice : bool
+        Whether an outside service decides which runners may run a step.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    most_attempts: int = 1
+    slack_factor: float = 1.0
+    target_latency_ms: Milliseconds = 0
+    timeout_ms: Milliseconds = 0
+    needs_advice: bool = False
+
+    def objective_ms(self, chain_ms: float) -> float:
+        """Return within which time a job with such a chain is in time."""
+        return self.slack_factor * chain_ms + self.target_latency_ms
+
+
+@attrs.frozen
+class ServicePolicy:
+    """A service: a pool of runners."""
+
+    name: str
+    max_connections: int = 64
+    rejects_overload: bool = True
+    standby: bool = False
+
+
+@attrs.frozen
+class HttpLimits:
+    """Bounds for callers' connections."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_timeout_ms: Milliseconds = 3_000
+    idle_timeout_ms: Milliseconds = 15_000
+
+
+@attrs.frozen
+class ServiceConfiguration:
+    """One version of the configuration; a higher version replaces a lower one."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[ServicePolicy, ...] = ()
+    limits: HttpLimits = HttpLimits()
+    _by_host: dict[str, list[Route]] = attrs.field(
+        init=False, eq=False, repr=False, factory=dict
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Index the routes: by host, longest prefix first."""
+        for route in sorted(self.routes, key=lambda one: -len(one.prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest matching prefix, if there is one."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+EMPTY_CONFIGURATION = ServiceConfiguration(version=0)
