--- a/sassafrasloft/event_loop/http_client.py
+++ b/sassafrasloft/event_loop/http_client.py
@@ -164,6 +164,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._complete = False
+        self._keep = False
         self.alive = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -200,14 +201,15 @@
             self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Note that the response is whole."""
+        """Note that the response is whole, and whether another may follow it."""
         self._complete = True
+        self._keep = self._parser.should_keep_alive()
 
     def _finish(self) -> None:
         call, self._call = self._call, None
         call.connection = None
         status = self._parser.get_status_code()
-        keep = self._parser.should_keep_alive() and self._size <= MAX_RESPONSE_BYTES
+        keep = self._keep and self._size <= MAX_RESPONSE_BYTES
         if keep:
             self._client.free(self._address, self)
         else:
