--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -181,12 +181,27 @@
         rights.record = record
         rights.known_revision = record.revision
         if record.incarnation == board.incarnation:
-            self._become_scheduler(record, board)
+            self._note_own_record(record, board)
+        elif self._is_target(record, board):
+            return
         elif rights.role in (Role.SCHEDULING, Role.FOLLOWING):
             self._follow_record(board)
         else:
             self._begin_search("", board)
 
+    def _note_own_record(self, record: RightRecord, board: InstanceBoard) -> None:
+        """Take the right if a claim took effect before its reply arrived."""
+        search = self._search
+        if search is not None and search.claim_lease:
+            board.rights.lease_id = search.claim_lease
+            board.rights.lease_confirmed_at = board.now
+        self._become_scheduler(record, board)
+
+    def _is_target(self, record: RightRecord, board: InstanceBoard) -> bool:
+        """Return whether the present scheduler has taken its right again."""
+        stream = board.rights.streams.get(board.rights.target)
+        return stream is not None and stream.address == record.peers_address
+
     def _note_absent(self, board: InstanceBoard) -> None:
         rights = board.rights
         rights.record_absent = True
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -54,6 +54,8 @@
     claim_at: Milliseconds = -1
     claim_call: int = 0
     claim_lease: int = 0
+    claim_revision: int = 0
+    """The revision that the claim replaces: of the holder found to be gone."""
     claim_failed: bool = False
     """Whether the store did not answer the last claim."""
 
@@ -166,7 +168,9 @@
 
 def begin_claim(search: Search, board: InstanceBoard) -> None:
     """Ask for a lease, with which the right is then taken."""
+    rights = board.rights
     search.claim_failed = False
+    search.claim_revision = 0 if rights.record_absent else rights.known_revision
     search.claim_call = board.fresh_id()
     operation = GrantLease(board.tuning.right_lease_ms)
     timeout = board.tuning.store_timeout_ms
@@ -185,9 +189,11 @@
     if isinstance(reply, LeaseGranted):
         search.claim_lease = reply.lease_id
         search.claim_call = board.fresh_id()
-        expected = 0 if rights.record_absent else rights.known_revision
         operation = Transaction(
-            board.documents.right_key, expected, own.to_bytes(), reply.lease_id
+            board.documents.right_key,
+            search.claim_revision,
+            own.to_bytes(),
+            reply.lease_id,
         )
         board.emit(
             CallStore(search.claim_call, operation, board.tuning.store_timeout_ms)
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -1,7 +1,6 @@
 """Keeps runs on runners alive and learns of their ends."""
 
 from sassafrasloft.blackboard import Controller, Event
-from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
@@ -200,7 +199,7 @@
         if reply.outcome is OrderOutcome.OTHER_INCARNATION and call.kind != "start":
             self._note_restart(view, board)
         if isinstance(reply, HoldReply):
-            self._take_hold(view, event.call_id, call.sent_at, reply, board)
+            self._take_hold(view, event.call_id, reply, board)
         elif isinstance(reply, StartReply) and run is not None:
             self._take_start(view, run, reply, board)
         elif isinstance(reply, StopReply) and run is not None:
@@ -223,6 +222,7 @@
             return
         if outcome is OrderOutcome.DONE:
             run.accepted_at = board.now
+            run.accepted_id = board.fresh_id()
             if run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 run.state = RunState.RUNNING
             board.post(RunAccepted(run))
@@ -243,7 +243,7 @@
         if view.runs.get(run.task) is not run:
             return
         if reply.outcome is OrderOutcome.DONE:
-            run.stop_confirmed_at = board.now
+            run.stop_confirmed_id = board.fresh_id()
             holding.look(view, board, self._calls)
         elif reply.outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT):
             self.stop(view, run, board)
@@ -252,7 +252,6 @@
         self,
         view: RunnerView,
         call_id: int,
-        sent_at: Milliseconds,
         reply: HoldReply,
         board: InstanceBoard,
     ) -> None:
@@ -270,7 +269,7 @@
             view.contacted_at = board.now
             board.log("runner_contacted", runner=view.runner_id)
         self._take_ends(view, reply, board)
-        self._compare_running(view, reply, sent_at, board)
+        self._compare_running(view, reply, call_id, board)
         holding.continue_holding(view, board, self._calls)
         board.pool.changed = True
 
@@ -292,7 +291,7 @@
                     view.remove(orphan)
 
     def _compare_running(
-        self, view: RunnerView, reply: HoldReply, sent_at: int, board: InstanceBoard
+        self, view: RunnerView, reply: HoldReply, call_id: int, board: InstanceBoard
     ) -> None:
         listed = {one.task: one for one in reply.running}
         for run in list(view.runs.values()):
@@ -302,7 +301,7 @@
                 continue
             if one is not None:
                 self._stop_unknown(view, one.task, one.number, board)
-            if _certainly_absent(run, sent_at):
+            if _certainly_absent(run, call_id):
                 self._finish(view, run, _absent_end(run), "not listed", board)
         for one in listed.values():
             if holding.in_takeover(view, board):
@@ -315,6 +314,7 @@
         if run.state in (RunState.STARTING, RunState.UNCERTAIN):
             run.state = RunState.RUNNING
             run.accepted_at = board.now
+            run.accepted_id = board.fresh_id()
             board.post(RunAccepted(run))
 
     def _stop_unknown(
@@ -395,15 +395,18 @@
     return entry.address != view.entry.address or 0 <= known < entry.started_at_ms
 
 
-def _certainly_absent(run: Run, listed_at: int) -> bool:
-    """Return whether a list requested at a time would show the run."""
-    if run.stop_confirmed_at >= 0:
-        return run.stop_confirmed_at <= listed_at
-    return 0 <= run.accepted_at <= listed_at
+def _certainly_absent(run: Run, call_id: int) -> bool:
+    """Return whether a list asked for by a call would show the run if it were there.
+
+    Times in milliseconds do not tell the order of calls.
+    """
+    if run.stop_confirmed_id:
+        return run.stop_confirmed_id < call_id
+    return 0 < run.accepted_id < call_id
 
 
 def _absent_end(run: Run) -> RunEnd | None:
     """Return how a run ended that a runner no longer lists."""
     if run.accepted_at < 0:
         return None
-    return RunEnd.STOPPED if run.stop_confirmed_at >= 0 else RunEnd.LAPSED
+    return RunEnd.STOPPED if run.stop_confirmed_id else RunEnd.LAPSED
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -29,7 +29,6 @@
     kind: str
     runner_id: str
     run: Run | None
-    sent_at: Milliseconds
 
 
 Calls = dict[int, Call]
@@ -46,7 +45,7 @@
 ) -> int:
     """Send an order and remember what it was for; return the call's id."""
     call_id = board.fresh_id()
-    calls[call_id] = Call(kind, view.runner_id, run, board.now)
+    calls[call_id] = Call(kind, view.runner_id, run)
     timeout_ms = timeout_ms or board.tuning.order_timeout_ms
     entry = view.entry
     board.emit(CallRunner(call_id, entry.runner_id, entry.address, order, timeout_ms))
@@ -181,6 +180,7 @@
         RunState.RUNNING,
         board.now,
         accepted_at=board.now,
+        accepted_id=board.fresh_id(),
         lease_until=board.now + board.settings.longest_lease_ms,
         adopted=True,
         percent_done=listed.percent_done,
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -61,7 +61,11 @@
     state: RunState
     sent_at: Milliseconds
     accepted_at: Milliseconds = -1
-    stop_confirmed_at: Milliseconds = -1
+    accepted_id: int = 0
+    """An id of this process given out as the start was accepted; calls with higher
+    ids were made later."""
+    stop_confirmed_id: int = 0
+    """The same for the answer to a stop; 0 if there was none."""
     lease_until: Milliseconds = 0
     """By our clock, at the latest; then the runner has ended the run."""
     percent_done: float = 0.0
