--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -187,8 +187,19 @@
         elif rights.role in (Role.SCHEDULING, Role.FOLLOWING):
             self._follow_record(board)
         else:
+            if self._search is not None:
+                self._search.turn_to_new_holder()
+            self._close_target_streams(board)
             self._begin_search("", board)
 
+    def _close_target_streams(self, board: InstanceBoard) -> None:
+        """Close streams that were opened to a former holder."""
+        rights = board.rights
+        for stream in list(rights.streams.values()):
+            if stream.purpose == "target" and stream.stream_id != rights.target:
+                del rights.streams[stream.stream_id]
+                board.emit(CloseStream(stream.stream_id))
+
     def _note_own_record(self, record: RightRecord, board: InstanceBoard) -> None:
         """Take the right if a claim took effect before its reply arrived."""
         search = self._search
@@ -235,6 +246,8 @@
         if unconfirmed > board.tuning.right_lease_ms:
             if not self._followers.has_quorum(board):
                 self._step_down("neither the store nor most instances answer", board)
+                # The others have been missing for longer than that already.
+                self._search.since -= board.tuning.zone_fallback_ms
                 return
         if not self._keep_call and rights.lease_id:
             self._keep_call = board.fresh_id()
@@ -393,7 +406,7 @@
         if search.claim_call or not seeking.may_claim(search, board):
             return
         if search.claim_at < 0:
-            delay = seeking.rank(board) * board.tuning.rank_delay_ms
+            delay = seeking.rank(search, board) * board.tuning.rank_delay_ms
             if not board.rights.roster:
                 delay = self._blind_delay(board)
             search.claim_at = board.now + delay
@@ -422,7 +435,8 @@
         majority = seeking.majority_lost(search, board)
         if seeking.someone_hears(search, board):
             return
-        if majority and not search.claim_failed and not rights.record_absent:
+        store_answers = board.configuration.store_reachable and not search.claim_failed
+        if majority and store_answers:
             return
         leader = seeking.zone_leader(search, board)
         if leader is None:
@@ -553,6 +567,7 @@
         rights.role = Role.FOLLOWING
         rights.target = stream.stream_id
         rights.target_heard_at = board.now
+        rights.target_zone = message.zone
         rights.base_token = message.token
         searched = board.now - self._search.since if self._search else 0
         self._search = None
@@ -592,7 +607,7 @@
         silent_ms = -1
         if rights.role is Role.SCHEDULING:
             silent_ms = 0
-        elif rights.role is Role.FOLLOWING and not board.pool.active:
+        elif rights.role is Role.FOLLOWING and not rights.target_zone:
             silent_ms = board.now - rights.target_heard_at
         settings = board.settings
         reply = HeardReply(
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -59,6 +59,14 @@
     claim_failed: bool = False
     """Whether the store did not answer the last claim."""
 
+    def turn_to_new_holder(self) -> None:
+        """Forget what speaks against the former holder."""
+        self.evidence = ""
+        self.connect_at = 0
+        self.claim_at = -1
+        self.vote_started_at = -1
+        self.replies.clear()
+
 
 def open_stream(board: InstanceBoard, address: str, purpose: str) -> StreamState:
     """Open a stream to another instance."""
@@ -83,11 +91,21 @@
 
 
 def others_in_roster(board: InstanceBoard) -> list[RosterEntry]:
-    """Return the known instances other than this one and the lost scheduler."""
-    record = board.rights.record
-    lost = record.name if record else ""
+    """Return the known instances other than this one."""
     own = board.settings.name
-    return [one for one in board.rights.roster if one.name not in (own, lost)]
+    return [one for one in board.rights.roster if one.name != own]
+
+
+def voters(search: Search, board: InstanceBoard) -> list[RosterEntry]:
+    """Return the other instances that count: the lost holder only if it answers."""
+    record = board.rights.record
+    holder = record.name if record else ""
+    answered = {reply.name for reply in fresh_replies(search, board)}
+    return [
+        one
+        for one in others_in_roster(board)
+        if one.name != holder or one.name in answered
+    ]
 
 
 def start_vote(search: Search, board: InstanceBoard) -> None:
@@ -137,17 +155,20 @@
 
 def majority_lost(search: Search, board: InstanceBoard) -> bool:
     """Return whether more than half of the instances have lost the scheduler."""
-    others = len(others_in_roster(board)) + 1
-    lost = 1 + sum(reply.silent_ms < 0 for reply in fresh_replies(search, board))
-    return lost * 2 > others
+    known = board.rights.known_revision
+    lost = 1 + sum(
+        reply.silent_ms < 0 and reply.revision >= known
+        for reply in fresh_replies(search, board)
+    )
+    return lost * 2 > len(voters(search, board)) + 1
 
 
-def rank(board: InstanceBoard) -> int:
+def rank(search: Search, board: InstanceBoard) -> int:
     """Return this instance's place among possible successors, strongest first."""
     own = board.settings
     order = sorted(
         [(-own.cores, own.name)]
-        + [(-one.cores, one.name) for one in others_in_roster(board)]
+        + [(-one.cores, one.name) for one in voters(search, board)]
     )
     return order.index((-own.cores, own.name))
 
@@ -169,7 +190,6 @@
 def begin_claim(search: Search, board: InstanceBoard) -> None:
     """Ask for a lease, with which the right is then taken."""
     rights = board.rights
-    search.claim_failed = False
     search.claim_revision = 0 if rights.record_absent else rights.known_revision
     search.claim_call = board.fresh_id()
     operation = GrantLease(board.tuning.right_lease_ms)
@@ -183,6 +203,7 @@
     """Go on with a claim; return the record once this instance has the right."""
     rights = board.rights
     search.claim_call = 0
+    search.claim_failed = isinstance(reply, StoreFailure)
     own = RightRecord(
         board.settings.name, board.incarnation, board.settings.peers_address, 0
     )
@@ -205,7 +226,6 @@
     elif isinstance(reply, TransactionRefused):
         note_refusal(search, reply, board)
     elif isinstance(reply, StoreFailure):
-        search.claim_failed = True
         search.claim_at = board.now + board.tuning.store_retry_ms
     return None
 
@@ -225,14 +245,13 @@
     if record is not None and record.revision > rights.known_revision:
         rights.record = record
         rights.known_revision = record.revision
-        search.evidence = ""
-        search.connect_at = 0
+        search.turn_to_new_holder()
 
 
-def zone_members(board: InstanceBoard) -> list[RosterEntry]:
-    """Return the other known instances of the own zone but the lost scheduler."""
+def zone_members(search: Search, board: InstanceBoard) -> list[RosterEntry]:
+    """Return the other instances of the own zone that count."""
     zone = board.settings.zone
-    return [one for one in others_in_roster(board) if one.zone == zone]
+    return [one for one in voters(search, board) if one.zone == zone]
 
 
 def zone_leader(search: Search, board: InstanceBoard) -> RosterEntry | None:
@@ -241,7 +260,7 @@
     More than half of the zone's instances have to have lost the scheduler, so that
     an instance that is cut off alone takes no runners from it.
     """
-    members = zone_members(board)
+    members = zone_members(search, board)
     replies = {reply.name: reply for reply in fresh_replies(search, board)}
     lost = [
         one
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -104,6 +104,8 @@
     target: int = -1
     """The stream to the scheduler; 0 is this instance itself, -1 none."""
     target_heard_at: Milliseconds = 0
+    target_zone: str = ""
+    """The only zone that the target schedules for; empty for all."""
     lease_id: int = 0
     lease_confirmed_at: Milliseconds = 0
 
--- a/sassafrasloft/metadata/adoption.py
+++ b/sassafrasloft/metadata/adoption.py
@@ -33,6 +33,7 @@
     current: ServiceConfiguration = EMPTY_CONFIGURATION
     adopted_at: Milliseconds = -1
     confirmed_at: Milliseconds = -1
+    store_reachable: bool = True
     _by_name: dict[str, Route] = attrs.field(factory=dict)
 
     def adopt(self, configuration: ServiceConfiguration, now: Milliseconds) -> bool:
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -43,7 +43,6 @@
         self._runners_call = 0
         self._revision = -1
         """Of the store, up to which changes are known; -1 to read all."""
-        self._reachable = True
 
     def react(self, event: Event, board: InstanceBoard) -> None:
         """Handle replies and timers."""
@@ -143,9 +142,9 @@
     def _note_reachable(
         self, reachable: bool, reason: str, board: InstanceBoard
     ) -> None:
-        if reachable == self._reachable:
+        if reachable == board.configuration.store_reachable:
             return
-        self._reachable = reachable
+        board.configuration.store_reachable = reachable
         if reachable:
             board.log("store_regained")
         else:
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -194,7 +194,8 @@
             return
         holding.note_answer(view, event, call.kind, board)
         reply = event.reply
-        if reply.outcome is OrderOutcome.FENCED:
+        in_force = board.rights.token_for(view.entry.zone)
+        if reply.outcome is OrderOutcome.FENCED and call.token == in_force:
             self._note_fence(view, board)
         if reply.outcome is OrderOutcome.OTHER_INCARNATION and call.kind != "start":
             self._note_restart(view, board)
@@ -311,6 +312,7 @@
 
     def _note_running(self, run: Run, percent: float, board: InstanceBoard) -> None:
         run.percent_done = percent
+        run.percent_read_at = board.now
         if run.state in (RunState.STARTING, RunState.UNCERTAIN):
             run.state = RunState.RUNNING
             run.accepted_at = board.now
@@ -366,7 +368,8 @@
             self._end_lapsed(view, board)
             if not view.fenced:
                 holding.keep_holding(view, board, self._calls)
-                health.report_overdue(view, board)
+                if health.report_overdue(view, board):
+                    holding.look(view, board, self._calls)
         self._stop_orphans(board)
 
     def _end_lapsed(self, view: RunnerView, board: InstanceBoard) -> None:
--- a/sassafrasloft/runs/health.py
+++ b/sassafrasloft/runs/health.py
@@ -90,16 +90,40 @@
         view.unusable_until = max(view.unusable_until, board.now + NO_ROOM_PAUSE_MS)
 
 
-def report_overdue(view: RunnerView, board: InstanceBoard) -> None:
-    """Post the runs that take much longer than expected."""
+def report_overdue(view: RunnerView, board: InstanceBoard) -> bool:
+    """Post the runs that take much longer than expected.
+
+    Returns
+    -------
+    bool
+        Whether the progress of such a run is not known yet.
+    """
     tuning = board.tuning
+    unknown = False
     for run in view.runs.values():
         if run.state is not RunState.RUNNING or run.adopted:
             continue
         elapsed = board.now - run.accepted_at
         limit = tuning.overdue_factor * run.expected_ms + tuning.overdue_slack_ms
-        if elapsed > limit:
-            board.post(RunOverdue(run, _remaining_ms(run, elapsed)))
+        if elapsed <= limit:
+            continue
+        if run.percent_read_at < run.accepted_at + run.expected_ms:
+            unknown = True
+            continue
+        _note_overdue(view, run, elapsed, board)
+        board.post(RunOverdue(run, _remaining_ms(run, elapsed)))
+    return unknown
+
+
+def _note_overdue(
+    view: RunnerView, run: Run, elapsed: Milliseconds, board: InstanceBoard
+) -> None:
+    ratio = min(MOST_SLOWNESS, elapsed / max(1.0, run.expected_ms))
+    if ratio > current_slowness(view, board.now):
+        view.slowness = ratio
+        view.slowness_at = board.now
+    if run.percent_done <= 0:
+        quarantine(view, "tasks stand still", board)
 
 
 def _remaining_ms(run: Run, elapsed: Milliseconds) -> float:
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -29,6 +29,7 @@
     kind: str
     runner_id: str
     run: Run | None
+    token: int
 
 
 Calls = dict[int, Call]
@@ -45,7 +46,7 @@
 ) -> int:
     """Send an order and remember what it was for; return the call's id."""
     call_id = board.fresh_id()
-    calls[call_id] = Call(kind, view.runner_id, run)
+    calls[call_id] = Call(kind, view.runner_id, run, order.fencing_token)
     timeout_ms = timeout_ms or board.tuning.order_timeout_ms
     entry = view.entry
     board.emit(CallRunner(call_id, entry.runner_id, entry.address, order, timeout_ms))
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -69,6 +69,7 @@
     lease_until: Milliseconds = 0
     """By our clock, at the latest; then the runner has ended the run."""
     percent_done: float = 0.0
+    percent_read_at: Milliseconds = -1
     adopted: bool = False
     """Whether an earlier scheduler started it."""
 
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -413,6 +413,7 @@
         job, task = found
         if worth_moving(job, task, event, board):
             board.count("runs_moved")
+            task.failed_on.add(event.run.runner_id)
             job.note(
                 board.now,
                 "moved",
--- /dev/null
+++ b/sassafrasloft/testing/fleet/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of instances with stand-ins in one event queue."""
--- /dev/null
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -0,0 +1,255 @@
+"""Schedulers and instances that are killed, frozen, cut off or stopped."""
+
+import pytest
+
+from sassafrasloft.gateway import AnswerKind
+from sassafrasloft.leadership import Role
+from sassafrasloft.testing.fleet.tests.situations import (
+    completed,
+    others,
+    scheduler_of,
+    settled_world,
+    submit_lookup,
+    submit_order,
+)
+from sassafrasloft.testing.fleet.world import STORE
+
+
+def zone_of(world, name):
+    if name in world.instances:
+        return world.instances[name].zone
+    if name in world.runners:
+        return world.runners[name].entry.zone
+    return "store"
+
+
+def cut_zone(world, zone, store_too):
+    """Cut a zone off from the others, and from the store if asked to."""
+
+    def cut(one, other):
+        zones = {zone_of(world, one), zone_of(world, other)}
+        if "store" in zones and not store_too:
+            return False
+        return zone in zones and len(zones) == 2
+
+    world.cut = cut
+
+
+def test_work_goes_on_within_a_second_after_the_scheduler_is_killed():
+    world = settled_world()
+    old = scheduler_of(world)
+    world.kill(old)
+    world.run(150)
+    name = others(world)[0]
+    job = submit_lookup(world, 1, name if name != old else others(world)[1])
+    world.run(300)
+    assert scheduler_of(world) != old
+    assert completed(job)
+
+
+def test_runs_are_adopted_by_the_successor():
+    """Guards against starting the tasks of open jobs again, or dropping them."""
+    world = settled_world()
+    name = others(world)[0]
+    job = submit_order(world, 1, name)
+    world.run(300)
+    world.kill(scheduler_of(world))
+    world.run(1_500)
+    assert completed(job)
+    assert world.audit.starts[job.job.job_id] == 2
+    assert job.waited_ms < 1_200
+
+
+def test_a_silent_scheduler_is_replaced():
+    world = settled_world()
+    old = scheduler_of(world)
+    world.power_off(old)
+    world.run(1_500)
+    new = scheduler_of(world)
+    assert new != old
+    job = submit_lookup(world, 1, new)
+    world.run(300)
+    assert completed(job)
+
+
+def test_a_frozen_scheduler_that_wakes_gives_way():
+    world = settled_world()
+    old = scheduler_of(world)
+    name = others(world)[0]
+    job = submit_order(world, 1, name)
+    world.run(100)
+    world.freeze(old)
+    world.run(4_000)
+    world.thaw(old)
+    world.run(500)
+    assert scheduler_of(world) != old
+    assert world.instances[old].core.board.rights.role is Role.FOLLOWING
+    assert job.answers
+
+
+def test_an_instance_that_is_cut_off_alone_takes_no_runners():
+    """Guards against an isolated instance that fences the scheduler's runners."""
+    world = settled_world()
+    scheduler = scheduler_of(world)
+    lonely = others(world)[0]
+
+    def cut(one, other):
+        return lonely in (one, other) and {one, other} & set(world.instances) == {
+            one,
+            other,
+        }
+
+    world.cut = cut
+    world.run(5_000)
+    assert scheduler_of(world) == scheduler
+    job = submit_lookup(world, 1, lonely)
+    world.run(100)
+    assert job.answer.kind is AnswerKind.UNAVAILABLE
+    assert job.answer.retry_after_s >= 1
+    assert not world.instances[lonely].ready
+    world.cut = lambda one, other: False
+    world.run(1_000)
+    assert world.instances[lonely].ready
+
+
+@pytest.mark.parametrize("store_too", [True, False])
+@pytest.mark.parametrize("with_scheduler", [True, False])
+def test_a_zone_that_is_cut_off_serves_on_its_own_runners(store_too, with_scheduler):
+    world = settled_world()
+    zone = world.instances[scheduler_of(world)].zone
+    if not with_scheduler:
+        zone = next(one for one in ("north", "south") if one != zone)
+    inside = [name for name, one in world.instances.items() if one.zone == zone]
+    outside = [name for name, one in world.instances.items() if one.zone != zone]
+    cut_zone(world, zone, store_too)
+    world.run(4_500)
+    jobs = [submit_lookup(world, 1, inside[0]), submit_lookup(world, 2, outside[0])]
+    world.run(400)
+    assert [completed(job) for job in jobs] == [True, True]
+    world.cut = lambda one, other: False
+    world.run(2_500)
+    scheduler_of(world)
+    jobs = [
+        submit_lookup(world, 10 + number, name)
+        for number, name in enumerate(world.instances)
+    ]
+    world.run(600)
+    assert sum(completed(job) for job in jobs) >= len(jobs) - 1
+
+
+def test_jobs_handed_to_a_lost_scheduler_do_not_run_twice():
+    """A cut zone must not run what the scheduler still runs on its side."""
+    for seed in range(10):
+        world = settled_world(seed=seed)
+        zone = world.instances[scheduler_of(world)].zone
+        cut_off = next(one for one in ("north", "south") if one != zone)
+        inside = [one for one, it in world.instances.items() if it.zone == cut_off]
+        for number in range(6):
+            submit_order(world, number, inside[number % len(inside)])
+        world.run(50)
+        cut_zone(world, cut_off, True)
+        world.run(3_000)
+        world.cut = lambda one, other: False
+        world.run(3_000)
+
+
+def test_a_planned_stop_of_the_scheduler_loses_no_job():
+    world = settled_world()
+    old = scheduler_of(world)
+    jobs = [
+        submit_order(world, number, name)
+        for number, name in enumerate(others(world)[:3])
+    ]
+    jobs.append(submit_order(world, 9, old))
+    world.run(100)
+    world.stop(old)
+    world.run(100)
+    assert scheduler_of(world) != old
+    world.run(6_000)
+    assert not world.instances[old].alive
+    assert all(completed(job) for job in jobs)
+    assert all(world.audit.starts[job.job.job_id] == 2 for job in jobs)
+
+
+def test_all_instances_stopped_in_turn():
+    world = settled_world()
+    jobs = []
+    for number, name in enumerate(list(world.instances)):
+        world.stop(name)
+        alive = [one.name for one in world.instances.values() if one.ready]
+        jobs += [
+            submit_lookup(world, 10 * number + k, one)
+            for k, one in enumerate(alive[:3])
+        ]
+        world.run(2_000)
+        if not world.instances[name].alive:
+            world.start_instance(name, world.instances[name].zone)
+        world.run(2_000)
+        if not world.instances[name].alive:
+            world.start_instance(name, world.instances[name].zone)
+    world.run(2_000)
+    assert all(completed(job) for job in jobs)
+
+
+def test_all_instances_killed_and_started_again():
+    world = settled_world()
+    for name in list(world.instances):
+        world.kill(name)
+    world.run(1_000)
+    for name in list(world.instances):
+        world.start_instance(name, world.instances[name].zone)
+    world.run(1_000)
+    job = submit_lookup(world, 1, scheduler_of(world))
+    world.run(300)
+    assert completed(job)
+
+
+def test_all_machines_lose_power_and_come_back():
+    world = settled_world()
+    for name in list(world.instances):
+        world.power_off(name)
+    world.run(1_000)
+    for name in list(world.instances):
+        world.start_instance(name, world.instances[name].zone)
+    world.run(2_500)
+    job = submit_lookup(world, 1, scheduler_of(world))
+    world.run(300)
+    assert completed(job)
+
+
+def test_scheduling_goes_on_while_the_store_is_down():
+    world = settled_world()
+    scheduler = scheduler_of(world)
+    world.store_down = True
+    world.run(6_000)
+    job = submit_lookup(world, 1, others(world)[0])
+    world.run(300)
+    assert completed(job)
+    world.store_down = False
+    world.run(3_000)
+    assert scheduler_of(world) == scheduler
+
+
+def test_zones_schedule_if_the_scheduler_is_killed_while_the_store_is_down():
+    world = settled_world()
+    world.store_down = True
+    world.run(500)
+    world.kill(scheduler_of(world))
+    world.run(2_000)
+    alive = [one.name for one in world.instances.values() if one.alive]
+    jobs = [submit_lookup(world, number, name) for number, name in enumerate(alive)]
+    world.run(600)
+    assert sum(completed(job) for job in jobs) >= len(jobs) - 1
+    world.store_down = False
+    world.run(3_000)
+    scheduler_of(world)
+
+
+def test_an_instance_cut_off_from_the_store_only_goes_on():
+    world = settled_world()
+    scheduler = scheduler_of(world)
+    world.cut = lambda one, other: STORE in (one, other) and scheduler in (one, other)
+    world.run(4_000)
+    job = submit_lookup(world, 1, others(world)[0])
+    world.run(300)
+    assert completed(job)
--- /dev/null
+++ b/sassafrasloft/testing/fleet/tests/test_runner_faults.py
@@ -0,0 +1,147 @@
+"""Runners that crash, restart, fail, stand still, turn slow, or answer late."""
+
+import attrs
+
+from sassafrasloft.gateway import AnswerKind
+from sassafrasloft.runs import RunEnd
+from sassafrasloft.standins.lease_runner import StandinTask
+from sassafrasloft.testing.fleet.tests.situations import (
+    completed,
+    others,
+    settled_world,
+    submit_lookup,
+    submit_order,
+)
+from sassafrasloft.workload import Resources
+
+
+def spread(world, count, gap_ms=60, first=1):
+    """Hand in lookups one after the other at several instances."""
+    names = others(world)
+    jobs = []
+    for number in range(count):
+        jobs.append(submit_lookup(world, first + number, names[number % len(names)]))
+        world.run(gap_ms)
+    world.run(500)
+    return jobs
+
+
+def share_completed(jobs):
+    return sum(completed(job) for job in jobs) / len(jobs)
+
+
+def test_a_run_accepted_as_a_look_is_sent_is_not_taken_for_absent():
+    """Guards against a second run of a task that the first list did not show.
+
+    With times in whole milliseconds the look seemed to be the later one.
+    """
+    for seed in range(30):
+        world = settled_world({"north": 2}, runners=3, seed=seed)
+        jobs = spread(world, 12, gap_ms=15)
+        assert all(job.answers for job in jobs)
+
+
+def test_a_crashed_runner_gets_no_work_and_its_tasks_run_elsewhere():
+    world = settled_world(runners=4)
+    crashed = next(iter(world.runners))
+    world.cut = lambda one, other: crashed in (one, other)
+    world.run(600)
+    assert share_completed(spread(world, 20)) == 1.0
+
+
+def test_a_runner_that_restarts_under_its_id_is_used_again():
+    world = settled_world({"north": 2}, runners=1)
+    name = others(world)[0]
+    job = submit_order(world, 1, name)
+    world.run(100)
+    world.restart_runner("runner-north-0")
+    world.run(3_000)
+    again = submit_lookup(world, 2, name)
+    world.run(400)
+    assert job.answers or job.open
+    assert completed(again) or again.answer.kind is AnswerKind.REFUSED
+
+
+def test_runners_that_fail_everything_are_left_alone():
+    world = settled_world(runners=4)
+    for runner_id in list(world.runners)[:2]:
+        world.runners[runner_id].fails_all = True
+    jobs = spread(world, 40)
+    assert share_completed(jobs) == 1.0
+    late = sum(end is RunEnd.FAILED for task, end in world.audit.ends[-80:])
+    assert late <= 4
+
+
+def test_tasks_that_stand_still_are_started_elsewhere():
+    world = settled_world(runners=4)
+    hung = next(iter(world.runners.values()))
+    hung.hangs = True
+    jobs = spread(world, 20)
+    assert share_completed(jobs) == 1.0
+
+
+def test_slow_runners_are_used_last():
+    world = settled_world(runners=4)
+    slow = next(iter(world.runners.values()))
+    slow.slowness = 6.0
+    spread(world, 10)
+    jobs = spread(world, 20, first=100)
+    assert share_completed(jobs) == 1.0
+    in_time = sum(job.waited_ms < 156 for job in jobs)
+    assert in_time >= 18
+
+
+def test_orders_carried_out_late_start_nothing_twice():
+    for seed in range(10):
+        world = settled_world(runners=4, seed=seed)
+        world.late_orders = 0.1
+        jobs = spread(world, 30)
+        world.late_orders = 0.0
+        world.run(4_000)
+        assert share_completed(jobs) >= 0.9, f"seed {seed}"
+
+
+def test_a_job_that_cannot_be_done_fails_after_its_attempts():
+    world = settled_world()
+    name = others(world)[0]
+    task = StandinTask(Resources(14_000, 64, 0), 60, RunEnd.FAILED)
+    world.durations[f"{1:016x}.0.0.0"] = task
+    job = submit_lookup(world, 1, name)
+    world.run(1_000)
+    assert job.answer.kind is AnswerKind.FAILED
+    failed = [one for one, end in world.audit.ends if end is RunEnd.FAILED]
+    assert len(failed) == 4
+
+
+def test_a_draining_runner_gets_no_new_work():
+    world = settled_world(runners=2)
+    runner = next(iter(world.runners.values()))
+    world.register(attrs.evolve(runner.entry, draining=True))
+    world.run(1_500)
+    runner.entry = attrs.evolve(runner.entry, draining=True)
+    assert share_completed(spread(world, 20)) == 1.0
+
+
+def test_a_burst_is_refused_early_with_a_time_to_come_back():
+    """Load pattern: a burst of ten times what the runners can take."""
+    world = settled_world(runners=2)
+    names = others(world)
+    jobs = [submit_order(world, n, names[n % len(names)]) for n in range(40)]
+    world.run(1_600)
+    refused = [job for job in jobs if job.answer.kind is AnswerKind.REFUSED]
+    done = [job for job in jobs if completed(job)]
+    assert len(done) >= 6
+    assert len(done) + len(refused) == len(jobs)
+    assert all(job.answer.retry_after_s >= 1 for job in refused)
+    assert max(job.waited_ms for job in refused) < 0.25 * 1_500
+
+
+def test_a_refused_job_may_come_back():
+    world = settled_world(runners=1)
+    names = others(world)
+    jobs = [submit_order(world, n, names[n % len(names)]) for n in range(20)]
+    world.run(1_500)
+    refused = next(job for job in jobs if job.answer.kind is AnswerKind.REFUSED)
+    submit_order(world, int(refused.job.job_id, 16), names[0])
+    world.run(1_500)
+    assert refused.answers[-1][1].kind is AnswerKind.COMPLETED
