--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -280,7 +280,7 @@
     def _change_target(self, event: TargetChanged, board: InstanceBoard) -> None:
         self._target = event.stream_id
         for job in list(board.requests.jobs.values()):
-            if job.sent and event.own_zone_only:
+            if job.sent and event.acting:
                 # The scheduler that had it may go on with it out of reach.
                 self._close_job(job, _may_have_run("scheduler lost"), board)
             else:
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -182,12 +182,12 @@
 class TargetChanged(Event):
     """Jobs now go to another scheduler; `stream_id` 0 is this instance itself.
 
-    `own_zone_only` says that it schedules just for this availability zone, since
-    it has lost the scheduler of all.
+    `acting` says that it schedules without the store's word: the scheduler before
+    it may still be at work.
     """
 
     stream_id: int
-    own_zone_only: bool = False
+    acting: bool = False
 
 
 @attrs.frozen
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -77,13 +77,21 @@
     slot: int
 
 
+@attrs.frozen
+class ZoneRound:
+    """How often the runners of a zone have changed hands under one right."""
+
+    zone: str
+    round: int
+
+
 @register_message("hello")
 @attrs.frozen
 class Hello(Message):
     """First message on a stream, from the instance that opened it.
 
-    `zone_round` is the highest round of fencing tokens that the sender knows of
-    for its availability zone.
+    `rounds` are the rounds of fencing tokens that the sender has used as an acting
+    scheduler, by availability zone.
     """
 
     name: str
@@ -91,17 +99,22 @@
     zone: str
     peers_address: str
     cores: float
-    zone_round: int
+    rounds: tuple[ZoneRound, ...] = ()
 
 
 @register_message("welcome")
 @attrs.frozen
 class Welcome(Message):
-    """The sender schedules under this token and takes jobs on this stream."""
+    """The sender schedules under this token and takes jobs on this stream.
+
+    `acting` says that it does so without the store's word; then `zone` may name
+    the only availability zone that it schedules for.
+    """
 
     name: str
     token: int
     zone: str
+    acting: bool
 
 
 @register_message("not_scheduling")
@@ -132,12 +145,21 @@
 @register_message("heard_reply")
 @attrs.frozen
 class HeardReply(Message):
-    """How long ago the scheduler was heard from; -1 if the stream is lost."""
+    """How long ago the scheduler was heard from; -1 if it is lost.
+
+    `acting_address` is that of the acting scheduler which serves the sender, and
+    `acting_zone` the only zone that this one schedules for. `holder` has the right
+    of `revision`, as far as the sender knows.
+    """
 
     name: str
     zone: str
     revision: int
     silent_ms: Milliseconds
+    acting_address: str = ""
+    acting_zone: str = ""
+    holder: str = ""
+    holder_address: str = ""
 
 
 @register_message("submit")
@@ -233,8 +255,7 @@
 class Handover(Message):
     """What a scheduler that stops or steps down knows of its open jobs."""
 
-    zone: str
-    round: int
+    rounds: tuple[ZoneRound, ...]
     jobs: tuple[JobProgress, ...]
 
 
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -58,9 +58,9 @@
     right_lease_ms: Milliseconds = 2_000
     """A right without its holder ends after this; two failed renewals fit."""
     right_renewal_ms: Milliseconds = 600
-    beat_ms: Milliseconds = 150
+    beat_ms: Milliseconds = 100
     """Three beats fit into the silence that is taken for a failure."""
-    silence_ms: Milliseconds = 500
+    silence_ms: Milliseconds = 350
     """Without any message for this long a stream is taken for dead."""
     connect_timeout_ms: Milliseconds = 200
     """A connection takes under 5 between zones."""
@@ -68,8 +68,9 @@
     """Successors try one after the other; a claim takes about 10."""
     vote_ms: Milliseconds = 120
     """How long answers of other instances are waited for."""
-    zone_fallback_ms: Milliseconds = 700
-    """Without any scheduler for this long a zone schedules its own runners."""
+    acting_delay_ms: Milliseconds = 450
+    """Without any scheduler for this long an instance acts as one: a connection
+    that is not made, a vote and a call of the store take about this."""
     absence_ms: Milliseconds = 10_000
     """After this an instance no longer counts towards a majority."""
     pause_ms: Milliseconds = 600
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -101,7 +101,7 @@
         if gap > board.tuning.pause_ms:
             board.log("pause_noticed", "WARNING", gap_ms=gap)
             board.count("pauses")
-            if board.rights.role in (Role.SCHEDULING, Role.ZONE):
+            if board.rights.role in (Role.SCHEDULING, Role.ACTING):
                 self._step_down("the process was paused", board)
 
     def react(self, event: Event, board: InstanceBoard) -> None:
@@ -141,8 +141,10 @@
 
     def _beat(self, board: InstanceBoard) -> None:
         rights = board.rights
-        if rights.role in (Role.SCHEDULING, Role.ZONE):
+        if rights.role in (Role.SCHEDULING, Role.ACTING):
             self._followers.beat(board)
+            if rights.role is Role.ACTING:
+                self._leave_if_fenced(board)
         elif rights.role is Role.FOLLOWING:
             board.emit(SendMessage(rights.target, Beat()))
             if board.now - rights.target_heard_at > board.tuning.silence_ms:
@@ -247,7 +249,7 @@
             if not self._followers.has_quorum(board):
                 self._step_down("neither the store nor most instances answer", board)
                 # The others have been missing for longer than that already.
-                self._search.since -= board.tuning.zone_fallback_ms
+                self._search.since -= board.tuning.acting_delay_ms
                 return
         if not self._keep_call and rights.lease_id:
             self._keep_call = board.fresh_id()
@@ -376,7 +378,7 @@
         self._connect_to_holder(search, board)
         if search.evidence or rights.record_absent:
             self._step_towards_claim(search, board)
-        self._consider_zone(search, board)
+        self._consider_acting(search, board)
 
     def _connect_to_holder(self, search: Search, board: InstanceBoard) -> None:
         record = board.rights.record
@@ -419,50 +421,68 @@
         step = board.tuning.rank_delay_ms
         return int(weakness * 2 * step) + board.random.randrange(step)
 
-    def _consider_zone(self, search: Search, board: InstanceBoard) -> None:
-        """Schedule for the own zone if no scheduler can be had for long."""
+    def _consider_acting(self, search: Search, board: InstanceBoard) -> None:
+        """Act as scheduler if none can be had for long, or follow who does."""
         rights = board.rights
         tuning = board.tuning
-        if rights.role is Role.ZONE or board.stopping.requested:
+        if rights.role is Role.ACTING:
             return
-        if board.now - search.since < tuning.zone_fallback_ms:
+        if board.now - search.since < tuning.acting_delay_ms:
             return
         first = search.first_vote_at < 0
         if seeking.vote_due(search, board):
             seeking.start_vote(search, board)
         if first or board.now - search.first_vote_at < tuning.vote_ms:
             return
-        majority = seeking.majority_lost(search, board)
         if seeking.someone_hears(search, board):
             return
+        majority = seeking.majority_lost(search, board)
         store_answers = board.configuration.store_reachable and not search.claim_failed
         if majority and store_answers:
             return
-        leader = seeking.zone_leader(search, board)
+        address = seeking.acting_known(search, board)
+        if address:
+            self._follow_acting(address, board)
+            return
+        zone = "" if majority else board.settings.zone
+        leader = seeking.acting_leader(search, zone, board)
         if leader is None:
             return
         if leader.name == board.settings.name:
-            self._become_zone_scheduler(leader.slot, board)
-        elif self._zone_stream(board) is None:
-            seeking.open_stream(board, leader.peers_address, "zone")
+            self._become_acting(leader.slot, zone, board)
+        else:
+            self._follow_acting(leader.peers_address, board)
 
-    def _zone_stream(self, board: InstanceBoard) -> StreamState | None:
+    def _follow_acting(self, address: str, board: InstanceBoard) -> None:
         streams = board.rights.streams.values()
-        return next((one for one in streams if one.purpose == "zone"), None)
+        if address == board.settings.peers_address:
+            return
+        if not any(one.purpose == "acting" for one in streams):
+            seeking.open_stream(board, address, "acting")
 
-    def _become_zone_scheduler(self, slot: int, board: InstanceBoard) -> None:
+    def _become_acting(self, slot: int, zone: str, board: InstanceBoard) -> None:
         rights = board.rights
-        zone = board.settings.zone
-        rights.role = Role.ZONE
+        rights.role = Role.ACTING
         rights.target = LOCAL
         rights.base_token = rights.known_revision * TOKENS_PER_REVISION
         rights.slot = slot
-        rights.rounds[zone] = rights.rounds.get(zone, 0) + 1
-        board.log("zone_scheduling", "WARNING", zone=zone, token=rights.token_for(zone))
-        board.count("zone_rights_used")
+        zones = {one.zone for one in board.pool.entries.values()}
+        for one in sorted(zones | {board.settings.zone}):
+            if zone in ("", one):
+                rights.rounds[one] = rights.rounds.get(one, 0) + 1
+        token = rights.token_for(board.settings.zone)
+        board.log("acting_scheduler", "WARNING", zone=zone, token=token)
+        board.count("acting_rights_used")
         self._followers.begin(board)
         board.post(RightGained(rights.base_token, zone))
-        board.post(TargetChanged(LOCAL, own_zone_only=True))
+        board.post(TargetChanged(LOCAL, acting=True))
+
+    def _leave_if_fenced(self, board: InstanceBoard) -> None:
+        """Stop acting once another scheduler has most of the runners."""
+        runners = board.pool.runners.values()
+        fenced = sum(view.fenced for view in runners)
+        if runners and fenced * 2 > len(runners):
+            self._step_down("another scheduler has the runners", board)
 
     # Streams
 
@@ -529,9 +549,7 @@
         elif isinstance(message, HeardQuery):
             self._answer_query(stream, board)
         elif isinstance(message, HeardReply):
-            if self._search is not None:
-                self._search.replies[message.name] = (message, board.now)
-                self._step_search(board)
+            self._take_heard(message, board)
         elif isinstance(message, Handover):
             if rights.role is Role.SCHEDULING:
                 self._followers.take_handover(message, board)
@@ -545,7 +563,7 @@
         self, stream: StreamState, message: Hello, board: InstanceBoard
     ) -> None:
         rights = board.rights
-        if rights.role in (Role.SCHEDULING, Role.ZONE):
+        if rights.role in (Role.SCHEDULING, Role.ACTING):
             self._followers.welcome(stream, message, board)
             return
         reply = NotScheduling(board.settings.name, rights.known_revision)
@@ -555,18 +573,19 @@
         self, stream: StreamState, message: Welcome, board: InstanceBoard
     ) -> None:
         rights = board.rights
-        if rights.role is Role.SCHEDULING or (
-            rights.role is Role.ZONE and message.zone
-        ):
+        if rights.role is Role.SCHEDULING:
             return
-        if rights.role is Role.FOLLOWING and rights.target in rights.streams:
-            if message.zone or rights.target == stream.stream_id:
-                return
-        if rights.role is Role.ZONE:
-            self._return_zone(stream, board)
+        if message.acting and rights.role in (Role.ACTING, Role.FOLLOWING):
+            return
+        if rights.role is Role.FOLLOWING and rights.target == stream.stream_id:
+            return
+        if rights.role is Role.ACTING:
+            self._give_way(stream, board)
         rights.role = Role.FOLLOWING
         rights.target = stream.stream_id
         rights.target_heard_at = board.now
+        rights.target_acting = message.acting
+        rights.target_address = stream.address
         rights.target_zone = message.zone
         rights.base_token = message.token
         searched = board.now - self._search.since if self._search else 0
@@ -575,17 +594,17 @@
             "following",
             scheduler=message.name,
             token=message.token,
+            acting=message.acting,
             zone=message.zone,
             searched_ms=searched,
         )
         board.measure("scheduler_absent", searched)
-        board.post(TargetChanged(stream.stream_id, bool(message.zone)))
+        board.post(TargetChanged(stream.stream_id, message.acting))
 
-    def _return_zone(self, stream: StreamState, board: InstanceBoard) -> None:
-        """Give the zone's runners back to the scheduler of all."""
-        zone = board.settings.zone
-        board.log("zone_returned", zone=zone)
-        board.emit(SendMessage(stream.stream_id, handover(board, zone)))
+    def _give_way(self, stream: StreamState, board: InstanceBoard) -> None:
+        """Give the runners to the scheduler that has the right."""
+        board.log("acting_ends", zone=board.pool.zone)
+        board.emit(SendMessage(stream.stream_id, handover(board)))
         self._leave_role("the scheduler is back", board)
 
     def _take_not_scheduling(
@@ -595,7 +614,7 @@
         if stream.stream_id == rights.target:
             self._lose_target("it no longer schedules", False, board)
             return
-        if stream.purpose in ("target", "zone"):
+        if stream.purpose in ("target", "acting"):
             rights.streams.pop(stream.stream_id, None)
             board.emit(CloseStream(stream.stream_id))
             if stream.purpose == "target" and self._search is not None:
@@ -604,17 +623,49 @@
 
     def _answer_query(self, stream: StreamState, board: InstanceBoard) -> None:
         rights = board.rights
+        settings = board.settings
         silent_ms = -1
+        address = zone = ""
         if rights.role is Role.SCHEDULING:
             silent_ms = 0
-        elif rights.role is Role.FOLLOWING and not rights.target_zone:
+        elif rights.role is Role.ACTING:
+            address, zone = settings.peers_address, board.pool.zone
+        elif rights.role is Role.FOLLOWING and rights.target_acting:
+            address, zone = rights.target_address, rights.target_zone
+        elif rights.role is Role.FOLLOWING:
             silent_ms = board.now - rights.target_heard_at
-        settings = board.settings
         reply = HeardReply(
-            settings.name, settings.zone, rights.known_revision, silent_ms
+            settings.name,
+            settings.zone,
+            rights.known_revision,
+            silent_ms,
+            address,
+            zone,
+            rights.record.name if rights.record else "",
+            rights.record.peers_address if rights.record else "",
         )
         board.emit(SendMessage(stream.stream_id, reply))
 
+    def _take_heard(self, message: HeardReply, board: InstanceBoard) -> None:
+        """Take the answer to a question about the scheduler."""
+        search = self._search
+        rights = board.rights
+        if search is None:
+            return
+        if message.revision > rights.known_revision and message.holder_address:
+            rights.record = RightRecord(
+                message.holder, "", message.holder_address, message.revision
+            )
+            rights.known_revision = message.revision
+            rights.record_absent = False
+            board.log(
+                "right_heard_of", holder=message.holder, revision=message.revision
+            )
+            search.turn_to_new_holder()
+            self._close_target_streams(board)
+        search.replies[message.name] = (message, board.now)
+        self._step_search(board)
+
     # Planned stop
 
     def _begin_stop(self, board: InstanceBoard) -> None:
@@ -656,7 +707,7 @@
         )
         rights.known_revision = max(rights.known_revision, message.revision)
         if rights.role is Role.SCHEDULING:
-            board.emit(SendMessage(stream.stream_id, handover(board, "")))
+            board.emit(SendMessage(stream.stream_id, handover(board)))
             self._step_down("handed over to its successor", board)
         elif stream.stream_id == rights.target:
             self._lose_target("it has handed over", False, board)
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -10,6 +10,7 @@
     JobProgress,
     RosterEntry,
     Welcome,
+    ZoneRound,
 )
 from sassafrasloft.leadership.state import Role, StreamState
 from sassafrasloft.scheduling import TaskState
@@ -63,7 +64,6 @@
     ) -> None:
         """Take an instance as a follower."""
         rights = board.rights
-        zone = board.pool.zone
         stream.follower = True
         stream.name = message.name
         stream.zone = message.zone
@@ -74,26 +74,31 @@
         board.emit(
             SendMessage(
                 stream.stream_id,
-                Welcome(board.settings.name, rights.base_token, zone),
+                Welcome(
+                    board.settings.name,
+                    rights.base_token,
+                    board.pool.zone,
+                    rights.role is Role.ACTING,
+                ),
             )
         )
         board.emit(SendMessage(stream.stream_id, Beat(rights.roster)))
-        self._take_round(message.zone, message.zone_round, board)
+        self._take_rounds(message.rounds, board)
 
-    def _take_round(self, zone: str, zone_round: int, board: InstanceBoard) -> None:
-        """Take back the runners of a zone that scheduled for itself."""
+    def _take_rounds(self, rounds: tuple[ZoneRound, ...], board: InstanceBoard) -> None:
+        """Take back the runners that an acting scheduler has used."""
         rights = board.rights
         if rights.role is not Role.SCHEDULING:
             return
-        if zone_round > rights.rounds.get(zone, 0):
-            rights.rounds[zone] = zone_round + 1
-            board.log("zone_taken_back", zone=zone, round=zone_round + 1)
-            board.post(ZoneReturned(zone, zone_round + 1))
+        for one in rounds:
+            if one.round > rights.rounds.get(one.zone, 0):
+                rights.rounds[one.zone] = one.round + 1
+                board.log("zone_taken_back", zone=one.zone, round=one.round + 1)
+                board.post(ZoneReturned(one.zone, one.round + 1))
 
     def take_handover(self, message: Handover, board: InstanceBoard) -> None:
-        """Note the round of fencing tokens of a zone that is given back."""
-        if message.zone:
-            self._take_round(message.zone, message.round, board)
+        """Note the fencing tokens of an acting scheduler that gives way."""
+        self._take_rounds(message.rounds, board)
 
     def beat(self, board: InstanceBoard) -> None:
         """Send a sign of life and drop silent followers."""
@@ -154,7 +159,7 @@
         )
 
 
-def handover(board: InstanceBoard, zone: str) -> Handover:
+def handover(board: InstanceBoard) -> Handover:
     """Return what a new scheduler needs to know of the open jobs."""
     jobs = tuple(
         JobProgress(
@@ -166,4 +171,4 @@
         for job in board.jobs.open.values()
         if job.offered
     )
-    return Handover(zone, board.rights.rounds.get(zone, 0), jobs)
+    return Handover(board.rights.used_rounds(), jobs)
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -3,8 +3,9 @@
 It connects to the holder of the right. If that fails it asks the other instances:
 if any of them still hears from the holder, this instance is the one that is cut
 off. If most of them have lost the holder as well, they take over the right in the
-store one after the other. Otherwise the instances of a zone that can reach each
-other schedule for their own zone.
+store one after the other. If the store does not answer, one of them acts as scheduler
+meanwhile. Instances of a zone that can reach each other, but not most of the
+others, have an acting scheduler for their own zone.
 """
 
 import attrs
@@ -86,7 +87,7 @@
         settings.zone,
         settings.peers_address,
         settings.cores,
-        board.rights.rounds.get(settings.zone, 0),
+        board.rights.used_rounds(),
     )
 
 
@@ -248,19 +249,25 @@
         search.turn_to_new_holder()
 
 
-def zone_members(search: Search, board: InstanceBoard) -> list[RosterEntry]:
-    """Return the other instances of the own zone that count."""
+def acting_known(search: Search, board: InstanceBoard) -> str:
+    """Return the address of an acting scheduler that others follow; empty if none."""
     zone = board.settings.zone
-    return [one for one in voters(search, board) if one.zone == zone]
+    for reply in fresh_replies(search, board):
+        usable = reply.acting_zone in ("", zone)
+        if reply.acting_address and usable and reply.silent_ms < 0:
+            return reply.acting_address
+    return ""
 
 
-def zone_leader(search: Search, board: InstanceBoard) -> RosterEntry | None:
-    """Return who is to schedule for the own zone alone; None if that may not be.
+def acting_leader(
+    search: Search, zone: str, board: InstanceBoard
+) -> RosterEntry | None:
+    """Return who is to act for a zone, or for all if it is empty.
 
-    More than half of the zone's instances have to have lost the scheduler, so that
-    an instance that is cut off alone takes no runners from it.
+    More than half of the instances concerned have to have lost the scheduler, so
+    that one that is cut off alone takes no runners from it.
     """
-    members = zone_members(search, board)
+    members = [one for one in voters(search, board) if zone in ("", one.zone)]
     replies = {reply.name: reply for reply in fresh_replies(search, board)}
     lost = [
         one
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -6,7 +6,7 @@
 import attrs
 
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.instance.messages import RosterEntry
+from sassafrasloft.instance.messages import RosterEntry, ZoneRound
 
 TOKENS_PER_REVISION = 1_000_000
 """Room for 1,000 rounds of 1,000 slots; with revisions up to 9e9 a token stays an
@@ -21,8 +21,8 @@
     """It looks for a scheduler, or tries to become it."""
     FOLLOWING = "following"
     SCHEDULING = "scheduling"
-    ZONE = "zone"
-    """It schedules for its own availability zone, which is cut off."""
+    ACTING = "acting"
+    """It schedules for those that can reach it, without the store's word."""
 
 
 @attrs.frozen
@@ -104,11 +104,18 @@
     target: int = -1
     """The stream to the scheduler; 0 is this instance itself, -1 none."""
     target_heard_at: Milliseconds = 0
+    target_acting: bool = False
+    """Whether the target is an acting scheduler."""
+    target_address: str = ""
     target_zone: str = ""
     """The only zone that the target schedules for; empty for all."""
     lease_id: int = 0
     lease_confirmed_at: Milliseconds = 0
 
+    def used_rounds(self) -> tuple[ZoneRound, ...]:
+        """Return the rounds of fencing tokens by zone."""
+        return tuple(ZoneRound(*one) for one in sorted(self.rounds.items()))
+
     def token_for(self, zone: str) -> int:
         """Return the fencing token of orders to runners of a zone."""
         return self.base_token + self.rounds.get(zone, 0) * TOKENS_PER_ROUND + self.slot
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -83,6 +83,8 @@
     def _take_watch(self, reply: StoreReply, board: InstanceBoard) -> None:
         if isinstance(reply, StoreFailure):
             self._note_reachable(False, reply.reason, board)
+            # A list is answered at once: the store's return shows sooner.
+            self._revision = -1
             board.set_timer(WATCH_TIMER, board.tuning.store_retry_ms)
             return
         self._note_reachable(True, "", board)
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -230,7 +230,7 @@
     assert scheduler_of(world) == scheduler
 
 
-def test_zones_schedule_if_the_scheduler_is_killed_while_the_store_is_down():
+def test_an_instance_acts_if_the_scheduler_is_killed_while_the_store_is_down():
     world = settled_world()
     world.store_down = True
     world.run(500)
@@ -239,10 +239,17 @@
     alive = [one.name for one in world.instances.values() if one.alive]
     jobs = [submit_lookup(world, number, name) for number, name in enumerate(alive)]
     world.run(600)
-    assert sum(completed(job) for job in jobs) >= len(jobs) - 1
+    assert all(completed(job) for job in jobs)
+    roles = [one.core.board.rights.role for one in world.instances.values()]
+    assert roles.count(Role.ACTING) == 1
     world.store_down = False
     world.run(3_000)
     scheduler_of(world)
+    jobs = [
+        submit_lookup(world, 20 + number, name) for number, name in enumerate(alive)
+    ]
+    world.run(600)
+    assert all(completed(job) for job in jobs)
 
 
 def test_an_instance_cut_off_from_the_store_only_goes_on():
