--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -64,6 +64,7 @@
     def __init__(self) -> None:
         self._target = NO_TARGET
         self._checking = False
+        self._acting = False
         self._lost_at = 0
 
     def react(self, event: Event, board: InstanceBoard) -> None:
@@ -162,6 +163,7 @@
             board.now - job.arrived_at,
             max(0, job.deadline_at - board.now),
             job.sent,
+            max(0, job.settled_at - board.now),
         )
         job.sent = True
         job.sent_to_current = True
@@ -279,6 +281,7 @@
 
     def _change_target(self, event: TargetChanged, board: InstanceBoard) -> None:
         self._target = event.stream_id
+        self._acting = event.acting
         for job in list(board.requests.jobs.values()):
             if job.sent and event.acting:
                 # The scheduler that had it may go on with it out of reach.
@@ -291,7 +294,10 @@
             return
         self._target = NO_TARGET
         self._lost_at = board.now
+        settle = board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
         for job in board.requests.jobs.values():
+            if self._acting and job.sent_to_current:
+                job.settled_at = board.now + settle
             job.sent_to_current = False
         for request_id in list(board.requests.questions):
             del board.requests.questions[request_id]
--- a/sassafrasloft/gateway/requests.py
+++ b/sassafrasloft/gateway/requests.py
@@ -28,6 +28,8 @@
     requests: set[int] = attrs.field(factory=set)
     sent: bool = False
     sent_to_current: bool = False
+    settled_at: Milliseconds = 0
+    """Until then an acting scheduler that was lost may have runs of it."""
 
 
 @attrs.define(eq=False)
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -168,6 +168,8 @@
     """Hands in a job. Times are relative, since clocks differ.
 
     `resubmitted` says that a scheduler may already have started tasks of it.
+    `settle_ms` is how long runs of an acting scheduler that was lost may go on, on
+    runners that no other instance knows.
     """
 
     job: JobRequest
@@ -175,6 +177,7 @@
     age_ms: Milliseconds
     remaining_ms: Milliseconds
     resubmitted: bool
+    settle_ms: Milliseconds = 0
 
 
 @register_message("cancel")
@@ -244,10 +247,11 @@
 
 @attrs.frozen
 class JobProgress:
-    """Tasks of an open job that have ended as done, as step and index pairs."""
+    """Tasks of an open job that have ended as done, and those that have a run."""
 
     job_id: str
     done: tuple[str, ...]
+    running: tuple[str, ...]
 
 
 @register_message("handover")
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -13,7 +13,7 @@
     ZoneRound,
 )
 from sassafrasloft.leadership.state import Role, StreamState
-from sassafrasloft.scheduling import TaskState
+from sassafrasloft.scheduling import ScheduledJob, TaskState
 
 RECONNECT_MS = 1_000
 """An instance whose stream ended comes back within this, or is gone."""
@@ -164,11 +164,14 @@
     jobs = tuple(
         JobProgress(
             job.job_id,
-            tuple(
-                task.name for task in job.tasks.values() if task.state is TaskState.DONE
-            ),
+            _names(job, TaskState.DONE),
+            _names(job, TaskState.PLACED),
         )
         for job in board.jobs.open.values()
         if job.offered
     )
     return Handover(board.rights.used_rounds(), jobs)
+
+
+def _names(job: ScheduledJob, state: TaskState) -> tuple[str, ...]:
+    return tuple(task.name for task in job.tasks.values() if task.state is state)
--- a/sassafrasloft/metadata/adoption.py
+++ b/sassafrasloft/metadata/adoption.py
@@ -34,6 +34,8 @@
     adopted_at: Milliseconds = -1
     confirmed_at: Milliseconds = -1
     store_reachable: bool = True
+    store_regained_at: Milliseconds = -1
+    """When the store last answered again; -1 if it always did."""
     _by_name: dict[str, Route] = attrs.field(factory=dict)
 
     def adopt(self, configuration: ServiceConfiguration, now: Milliseconds) -> bool:
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -148,6 +148,7 @@
             return
         board.configuration.store_reachable = reachable
         if reachable:
+            board.configuration.store_regained_at = board.now
             board.log("store_regained")
         else:
             age = board.now - board.configuration.confirmed_at
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -1,6 +1,7 @@
 """Takes jobs, places their tasks and answers."""
 
 from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import SendMessage
 from sassafrasloft.instance.controllers import CONTROLLERS
@@ -21,6 +22,7 @@
     CancelJob,
     Handover,
     JobAnswer,
+    JobProgress,
     JobState,
     Message,
     NotScheduling,
@@ -127,7 +129,7 @@
     ) -> None:
         if isinstance(message, Handover):
             for job in message.jobs:
-                board.jobs.inherited[job.job_id] = frozenset(job.done)
+                board.jobs.inherited[job.job_id] = job
             return
         if not board.pool.active:
             revision = board.rights.known_revision
@@ -188,7 +190,7 @@
         board.jobs.open[job.job_id] = job
         board.jobs.changed = True
         board.count("jobs_taken")
-        self._inherit(job, board)
+        self._inherit(job, message.settle_ms, board)
         refusal = None
         if not job.offered and not job.resubmitted:
             refusal = self._admission.on_arrival(job, board)
@@ -219,18 +221,37 @@
         )
         return job
 
-    def _inherit(self, job: ScheduledJob, board: InstanceBoard) -> None:
+    def _inherit(
+        self, job: ScheduledJob, settle_ms: Milliseconds, board: InstanceBoard
+    ) -> None:
         """Go on from what an earlier scheduler did for the job."""
-        for name in sorted(board.jobs.inherited.pop(job.job_id, ())):
+        progress = board.jobs.inherited.pop(job.job_id, None)
+        if progress is None:
+            for task in job.tasks.values():
+                task.not_before = board.now + settle_ms
+        else:
+            self._take_progress(job, progress, board)
+            if job.job_id not in board.jobs.open:
+                return
+        for task in list(job.waiting):
+            if task.name in board.pool.orphans:
+                self._adopt(job, task, board)
+
+    def _take_progress(
+        self, job: ScheduledJob, progress: JobProgress, board: InstanceBoard
+    ) -> None:
+        settle = board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
+        for name in progress.running:
+            if name in job.tasks:
+                job.tasks[name].not_before = board.now + settle
+        for name in progress.done:
             task = job.tasks.get(name)
             if task is not None and task.state is TaskState.WAITING:
                 job.offered = True
+                job.started = True
                 if job.finish_task(task):
                     self._end(job, JobOutcome.COMPLETED, "inherited", board)
                     return
-        for task in list(job.waiting):
-            if task.name in board.pool.orphans:
-                self._adopt(job, task, board)
 
     def _adopt(
         self, job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
@@ -478,6 +499,10 @@
         if not job.resubmitted:
             return True
         tuning = board.tuning
+        regained = board.configuration.store_regained_at
+        if 0 <= board.now - regained < tuning.missing_grace_ms and regained >= 0:
+            # Runners that lost their entries may not be known yet.
+            return False
         lapse = board.settings.longest_lease_ms + tuning.lapse_margin_ms
         silence = tuning.silence_ms
         return not board.pool.unknown_runs_possible(board.now, lapse + silence)
@@ -500,6 +525,8 @@
             if task.name in board.pool.orphans:
                 self._adopt(job, task, board)
                 continue
+            if board.now < task.not_before:
+                continue
             offer = self._placement.choose(offers, job, task, latest_end, board.now)
             if offer is not None:
                 self._start(job, task, offer, board)
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -5,6 +5,7 @@
 import attrs
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.instance.messages import JobProgress
 from sassafrasloft.runs import Run
 from sassafrasloft.workload import JobRequest, Route, task_name
 
@@ -43,6 +44,7 @@
     failures: int = 0
     failed_on: set[str] = attrs.field(factory=set)
     not_before: Milliseconds = 0
+    """Until then a run that is not known here may still be at work."""
 
 
 @attrs.define(eq=False)
@@ -143,6 +145,6 @@
 
     open: dict[str, ScheduledJob] = attrs.field(factory=dict)
     answers: dict[str, tuple[JobOutcome, Milliseconds]] = attrs.field(factory=dict)
-    inherited: dict[str, frozenset[str]] = attrs.field(factory=dict)
-    """Tasks done under an earlier scheduler, by job."""
+    inherited: dict[str, JobProgress] = attrs.field(factory=dict)
+    """What an earlier scheduler handed over, by job."""
     changed: bool = False
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -153,6 +153,34 @@
         world.run(3_000)
 
 
+def test_runs_on_runners_that_the_next_scheduler_does_not_know_go_on_alone():
+    """Guards against a second run while entries of a cut zone have lapsed.
+
+    The scheduler after the cut did not know the zone's runners, and started tasks
+    that were still at work there.
+    """
+    for seed in range(12):
+        world = settled_world(seed=seed)
+        old = scheduler_of(world)
+        zone = next(one for one in ("north", "south") if one != zone_of(world, old))
+        inside = [one for one, it in world.instances.items() if it.zone == zone]
+        cut_zone(world, zone, True)
+        world.run(3_000)
+        for runner_id, runner in world.runners.items():
+            if runner.entry.zone == zone:
+                world.unregister(runner_id)
+        world.kill(old)
+        world.run(3_000)
+        jobs = [submit_order(world, n, inside[n % len(inside)]) for n in range(6)]
+        world.run(100)
+        world.cut = lambda one, other: False
+        world.run(700)
+        for runner in world.runners.values():
+            world.register(runner.entry)
+        world.run(3_000)
+        assert all(job.answers for job in jobs), f"seed {seed}"
+
+
 def test_a_planned_stop_of_the_scheduler_loses_no_job():
     world = settled_world()
     old = scheduler_of(world)
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -203,6 +203,10 @@
         key = self.documents.runners_prefix + entry.runner_id
         self.store.put(key, self.documents.write(entry))
 
+    def unregister(self, runner_id: str) -> None:
+        """Let a runner's entry lapse."""
+        self.store.delete(self.documents.runners_prefix + runner_id)
+
     def restart_runner(self, runner_id: str) -> LeaseRunnerStandin:
         """Crash a runner and start it again under its id."""
         old = self.runners[runner_id]
