--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -322,7 +322,7 @@
             if job.sent:
                 if board.now >= job.deadline_at:
                     self._close_job(job, _may_have_run("no scheduler"), board)
-            elif hopeless or waited >= tuning.wait_share * job.objective_ms:
+            elif hopeless or waited >= _longest_wait(job, board):
                 retry = tuning.shortest_retry_after_s
                 answer = CallerAnswer(AnswerKind.UNAVAILABLE, "no scheduler", retry)
                 self._close_job(job, answer, board)
@@ -330,6 +330,13 @@
             self._start_checking(board)
 
 
+def _longest_wait(job: OpenJob, board: InstanceBoard) -> float:
+    """Return how long a job may wait for a scheduler before it is refused."""
+    tuning = board.tuning
+    objective = job.route.objective_ms(tuning.sure_work * job.job.chain_ms())
+    return tuning.wait_share * objective - tuning.wait_margin_ms
+
+
 def _may_have_run(reason: str) -> CallerAnswer:
     return CallerAnswer(AnswerKind.MAY_HAVE_RUN, reason)
 
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -18,8 +18,11 @@
     that is 2% slow and for one lost renewal."""
     renewal_ms: Milliseconds = 250
     """Three renewals fit into a lease."""
-    order_timeout_ms: Milliseconds = 150
-    """A round trip is under 5; longer means a lost answer or a stalled runner."""
+    start_timeout_ms: Milliseconds = 30
+    """A round trip is under 5. A start without an answer is stopped, which is cheap,
+    so that the task can start elsewhere before a short job is late."""
+    order_timeout_ms: Milliseconds = 100
+    """For stops, and twice this for looks; longer means a runner out of reach."""
     hold_slack_ms: Milliseconds = 200
     """How late the answer to a waiting hold may be."""
     longest_idle_wait_ms: Milliseconds = 1_000
@@ -77,9 +80,14 @@
     """A gap between events above this means that the process was suspended."""
 
     # Jobs
-    wait_share: float = 0.22
+    wait_share: float = 0.25
     """Of a job's objective: a caller that is refused has lost less than a quarter
     of the time in which another attempt could be in time."""
+    wait_margin_ms: Milliseconds = 10
+    """Part of that time which the messages to and from the caller take."""
+    sure_work: float = 0.77
+    """Nine of ten jobs last longer than this share of their expected duration:
+    declared durations are off by up to 40%, true ones vary by 40%."""
     answer_retention_ms: Milliseconds = 5_000
     """Callers send again 1,300 after a lost answer."""
     most_open_jobs: int = 2_000
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -333,7 +333,8 @@
         token = board.rights.token_for(view.entry.zone)
         lease = holding.lease_end(view, board)
         order = StartRun(token, run.task, run.number, spec, lease)
-        holding.call_runner(view, "start", order, run, board, self._calls)
+        timeout = board.tuning.start_timeout_ms
+        holding.call_runner(view, "start", order, run, board, self._calls, timeout)
         holding.continue_holding(view, board, self._calls)
 
     def stop(self, view: RunnerView, run: Run, board: InstanceBoard) -> None:
--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -62,26 +62,94 @@
     """
 
     def on_arrival(self, job: ScheduledJob, board: InstanceBoard) -> Refusal | None:
-        """Refuse a job that no runner can ever hold, or above the limit of jobs."""
-        if len(board.jobs.open) >= board.tuning.most_open_jobs:
-            return Refusal("too many open jobs", retry_after_s(board))
-        if board.now >= job.deadline_at:
-            return Refusal("the caller's deadline has passed", retry_after_s(board))
-        return None
+        """Refuse above the limit of open jobs and after the caller's deadline."""
+        return _refusal_in_any_case(job, board)
 
     def latest_start(self, job: ScheduledJob, board: InstanceBoard) -> float:
-        """Return the end of the share."""
-        return job.arrived_at + board.tuning.wait_share * job.objective_ms
+        """Return the end of the share of an objective that is surely allowed."""
+        tuning = board.tuning
+        objective = job.route.objective_ms(tuning.sure_work * job.work_ms)
+        share = tuning.wait_share * objective - tuning.wait_margin_ms
+        return job.arrived_at + max(0.0, share)
 
 
-def retry_after_s(board: InstanceBoard) -> int:
-    """Return when a refused caller may come back: once the waiting work is done."""
-    room = sum(view.entry.capacity.millicores for view in board.pool.runners.values())
-    waiting = sum(
-        job.request.steps[task.step].demand.millicores
-        * job.request.steps[task.step].estimate_ms
-        for job in board.jobs.open.values()
+@ADMISSIONS.register("while_in_time")
+class WhileInTime(Admission):
+    """Lets a job wait while it can still be in time, if room is to be expected.
+
+    Room comes free at any moment, so that a short wait saves most jobs of a burst.
+    A job is refused on arrival if the work ahead of it takes longer than that.
+    """
+
+    def on_arrival(self, job: ScheduledJob, board: InstanceBoard) -> Refusal | None:
+        """Refuse a job that would be late behind the work that goes before it."""
+        refusal = _refusal_in_any_case(job, board)
+        if refusal is None:
+            wait_ms = expected_wait_ms(job, board)
+            if board.now + wait_ms > LATE_FACTOR * self._slack(job, board) + (
+                job.arrived_at
+            ):
+                reason = f"the work ahead takes {wait_ms:.0f} ms"
+                refusal = Refusal(reason, retry_after_s(board))
+        return refusal
+
+    def latest_start(self, job: ScheduledJob, board: InstanceBoard) -> float:
+        """Return when the job has to start to be in time, as far as is known."""
+        return job.arrived_at + self._slack(job, board)
+
+    def _slack(self, job: ScheduledJob, board: InstanceBoard) -> float:
+        slack = job.objective_ms - job.work_ms - board.tuning.wait_margin_ms
+        latest = job.deadline_at - job.arrived_at - job.work_ms
+        return max(0.0, min(slack, latest))
+
+
+LATE_FACTOR = 2.0
+"""Work ahead is often refused or cancelled before it runs: only a wait of this many
+times the slack is taken as certain to be too long."""
+
+
+def _refusal_in_any_case(job: ScheduledJob, board: InstanceBoard) -> Refusal | None:
+    if len(board.jobs.open) >= board.tuning.most_open_jobs:
+        return Refusal("too many open jobs", retry_after_s(board))
+    if board.now >= job.deadline_at:
+        return Refusal("the caller's deadline has passed", retry_after_s(board))
+    return None
+
+
+def expected_wait_ms(job: ScheduledJob, board: InstanceBoard) -> float:
+    """Return how long the runners are busy with waiting work that goes first."""
+    room = _capacity(job.route.service, board)
+    if not room:
+        return 0.0
+    ahead = sum(
+        _waiting_work(one)
+        for one in board.jobs.open.values()
+        if one is not job and one.priority <= job.priority
+    )
+    return ahead / room
+
+
+def _waiting_work(job: ScheduledJob) -> float:
+    """Return the millicore-milliseconds of a job's waiting tasks."""
+    steps = job.request.steps
+    return sum(
+        steps[task.step].demand.millicores * steps[task.step].estimate_ms
         for task in job.waiting
     )
+
+
+def _capacity(service: str, board: InstanceBoard) -> int:
+    return sum(
+        view.entry.capacity.millicores
+        for view in board.pool.runners.values()
+        if view.entry.service == service and view.unanswered == 0
+    )
+
+
+def retry_after_s(board: InstanceBoard) -> int:
+    """Return when a refused caller may come back: once the waiting work is done."""
+    services = {job.route.service for job in board.jobs.open.values()}
+    room = sum(_capacity(service, board) for service in services)
+    waiting = sum(_waiting_work(job) for job in board.jobs.open.values())
     seconds = math.ceil(waiting / room / _SECOND_MS) if room else 0
     return max(board.tuning.shortest_retry_after_s, seconds)
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -45,7 +45,7 @@
     TaskState,
 )
 from sassafrasloft.scheduling.ordering import ORDERS
-from sassafrasloft.scheduling.placement import PLACEMENTS, Candidate, candidates
+from sassafrasloft.scheduling.placement import PLACEMENTS, SLOW, Candidate, candidates
 from sassafrasloft.scheduling.stragglers import worth_moving
 
 WAIT_TIMER = "scheduling.wait"
@@ -81,7 +81,7 @@
         self,
         order: str = "priority",
         placement: str = "best_fit",
-        admission: str = "share_of_objective",
+        admission: str = "while_in_time",
     ) -> None:
         self._order = ORDERS.create(order)
         self._placement = PLACEMENTS.create(placement)
@@ -462,13 +462,28 @@
             limit = self._limit_of(job, board)
             if limit is None:
                 continue
+            if now >= limit and self._start_on_slow(job, offers[service], board):
+                continue
             if now >= limit:
+                job.note(
+                    now, "no_room", _describe_room(offers[service], waiting, board)
+                )
                 refusal = Refusal("no room in time", retry_after_s(board))
                 self._refuse(job, refusal, board)
             else:
                 next_limit = min(next_limit, limit)
         self._set_wait_timer(next_limit, board)
 
+    def _start_on_slow(
+        self, job: ScheduledJob, offers: list[Candidate], board: InstanceBoard
+    ) -> bool:
+        """Start a job late on slow runners rather than refuse it."""
+        slow = [one for one in offers if one.slowness > SLOW]
+        if not slow or not self._may_start(job, board):
+            return False
+        self._place_tasks(job, slow, job.deadline_at, board)
+        return any(task.run is not None for task in job.tasks.values())
+
     def _limit_of(self, job: ScheduledJob, board: InstanceBoard) -> float | None:
         """Return when a job that waits is to be refused; None if it is not."""
         if not job.waiting:
@@ -512,10 +527,19 @@
     ) -> None:
         if not offers or not self._may_start(job, board):
             return
-        largest = max(offer.view.free.millicores for offer in offers)
         latest_end = int(job.arrived_at + job.objective_ms)
         if board.now + job.work_ms > latest_end:
             latest_end = job.deadline_at
+        self._place_tasks(job, offers, latest_end, board)
+
+    def _place_tasks(
+        self,
+        job: ScheduledJob,
+        offers: list[Candidate],
+        latest_end: Milliseconds,
+        board: InstanceBoard,
+    ) -> None:
+        largest = max(offer.view.free.millicores for offer in offers)
         for task in list(job.waiting):
             demand = job.request.steps[task.step].demand
             if demand.millicores > largest:
@@ -569,3 +593,15 @@
             f"answer_age_ms={board.now - offer.view.last_answer_at}",
         )
         board.post(TaskPlaced(run, job.request.spec))
+
+
+def _describe_room(
+    offers: list[Candidate], waiting: list[ScheduledJob], board: InstanceBoard
+) -> str:
+    """Return what a refusal for want of room was decided by."""
+    free = sorted((one.view.free.millicores for one in offers), reverse=True)
+    return (
+        f"usable_runners={len(offers)} of {len(board.pool.runners)} "
+        f"most_free={free[:4]} waiting_jobs={len(waiting)} "
+        f"list_age_ms={board.now - board.pool.entries_read_at}"
+    )
