--- a/sassafrasloft/event_loop/http_server.py
+++ b/sassafrasloft/event_loop/http_server.py
@@ -180,6 +180,7 @@
     def respond(self, response: HttpResponse) -> None:
         """Write a response and go on with the next request."""
         self.request_id = 0
+        self._target = b""
         close = self._server.stopping
         self._transport.write(response.to_bytes(close))
         if close:
--- /dev/null
+++ b/sassafrasloft/event_loop/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the edges on an event loop, over loopback."""
--- /dev/null
+++ b/sassafrasloft/event_loop/tests/test_http.py
@@ -0,0 +1,187 @@
+"""The HTTP server and client over loopback."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from sassafrasloft.event_loop.http_client import CallFault, CallResponse, HttpClient
+from sassafrasloft.event_loop.http_messages import HttpResponse, request_bytes
+from sassafrasloft.event_loop.http_server import HttpServer
+from sassafrasloft.workload import HttpLimits
+
+HOST = "127.0.0.1"
+
+
+class Echo:
+    """Answers each request with its path, at once or when told to."""
+
+    def __init__(self, later=False):
+        self.server = HttpServer(self, HttpLimits())
+        self.later = later
+        self.requests = []
+        self.lost = []
+
+    def take_request(self, request_id, request):
+        self.requests.append((request_id, request))
+        if not self.later:
+            self.answer(request_id, request)
+
+    def answer(self, request_id, request):
+        body = f"{request.method} {request.path}".encode()
+        self.server.answer(request_id, HttpResponse(200, body))
+
+    def lose_request(self, request_id, reset):
+        self.lost.append((request_id, reset))
+
+    async def start(self):
+        await self.server.listen(HOST, 0)
+        listener = self.server._server.sockets[0]
+        self.port = listener.getsockname()[1]
+        return f"{HOST}:{self.port}"
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+def call(client, address, timeout_ms=1_000, path="/a"):
+    future = asyncio.get_running_loop().create_future()
+    request = request_bytes("GET", path, address)
+    client.send(address, request, timeout_ms, future.set_result)
+    return future
+
+
+def test_calls_share_one_connection():
+    """Guards against a new connection for each call."""
+
+    async def scenario():
+        echo, client = Echo(), HttpClient(4)
+        address = await echo.start()
+        for number in range(5):
+            reply = await call(client, address, path=f"/{number}")
+            assert reply == CallResponse(200, f"GET /{number}".encode())
+        assert client.connections_made == 1
+
+    asyncio.run(scenario())
+
+
+def test_calls_beyond_the_limit_wait_for_a_connection():
+    async def scenario():
+        echo, client = Echo(later=True), HttpClient(2)
+        address = await echo.start()
+        calls = [call(client, address) for _ in range(3)]
+        await until(lambda: len(echo.requests) == 2)
+        echo.answer(*echo.requests[0])
+        await until(lambda: len(echo.requests) == 3)
+        for one in echo.requests[1:]:
+            echo.answer(*one)
+        assert [(await one).status for one in calls] == [200, 200, 200]
+        assert client.connections_made == 2
+
+    asyncio.run(scenario())
+
+
+def test_a_silent_server_times_out_and_a_missing_one_refuses():
+    async def scenario():
+        echo, client = Echo(later=True), HttpClient(2)
+        address = await echo.start()
+        assert await call(client, address, timeout_ms=30) is CallFault.TIMED_OUT
+        echo.server.close_listener()
+        await asyncio.sleep(0)
+        assert await call(client, f"{HOST}:9") is CallFault.REFUSED
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_after_the_timeout_does_not_reach_the_next_call():
+    async def scenario():
+        echo, client = Echo(later=True), HttpClient(1)
+        address = await echo.start()
+        assert await call(client, address, timeout_ms=30) is CallFault.TIMED_OUT
+        second = call(client, address, path="/second")
+        await until(lambda: len(echo.requests) == 2)
+        for one in echo.requests:
+            echo.answer(*one)
+        assert (await second).body == b"GET /second"
+
+    asyncio.run(scenario())
+
+
+def test_idle_connections_close_with_the_listener_after_an_answer():
+    """Guards against requests that are read by a process about to exit.
+
+    A connection that had served a request was not taken for idle.
+    """
+
+    async def scenario():
+        echo = Echo()
+        await echo.start()
+        reader, writer = await asyncio.open_connection(HOST, echo.port)
+        writer.write(request_bytes("GET", "/a", HOST))
+        assert (await reader.readuntil(b"GET /a")).startswith(b"HTTP/1.1 200")
+        echo.server.close_listener()
+        assert await asyncio.wait_for(reader.read(), 1) == b""
+
+    asyncio.run(scenario())
+
+
+def test_a_request_that_has_arrived_is_answered_after_the_listener_closed():
+    async def scenario():
+        echo = Echo(later=True)
+        await echo.start()
+        reader, writer = await asyncio.open_connection(HOST, echo.port)
+        writer.write(request_bytes("GET", "/a", HOST))
+        await until(lambda: echo.requests)
+        echo.server.stopping = True
+        echo.server.close_listener()
+        echo.answer(*echo.requests[0])
+        data = await asyncio.wait_for(reader.read(), 1)
+        assert data.endswith(b"GET /a") and b"Connection: close" in data
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_a_client_that_leaves_is_noticed(reset):
+    async def scenario():
+        echo = Echo(later=True)
+        await echo.start()
+        _, writer = await asyncio.open_connection(HOST, echo.port)
+        writer.write(request_bytes("GET", "/a", HOST))
+        await until(lambda: echo.requests)
+        if reset:
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+        await until(lambda: echo.lost)
+        assert echo.lost == [(1, reset)]
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 999999\r\n\r\n", b"413"),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"a" * 20_000 + b"\r\n\r\n", b"431"),
+    ],
+)
+def test_bad_requests_get_an_answer_and_the_server_goes_on(data, status):
+    async def scenario():
+        echo = Echo()
+        await echo.start()
+        reader, writer = await asyncio.open_connection(HOST, echo.port)
+        writer.write(data + b"x" * 300_000)
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n"), 2)
+        assert status in head
+        other, writer = await asyncio.open_connection(HOST, echo.port)
+        writer.write(request_bytes("GET", "/b", HOST))
+        assert b"200" in await asyncio.wait_for(other.readuntil(b"\r\n"), 2)
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/sassafrasloft/event_loop/tests/test_streams.py
@@ -0,0 +1,84 @@
+"""Message streams over loopback."""
+
+import asyncio
+
+from sassafrasloft.event_loop.streams import MessageStreams
+from sassafrasloft.instance.events import MessageReceived, StreamClosed, StreamOpened
+from sassafrasloft.instance.messages import Beat, Promote
+
+HOST = "127.0.0.1"
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+async def pair():
+    """Return two ends with their events, and the address of the second."""
+    first_events, second_events = [], []
+    first = MessageStreams(first_events.append)
+    second = MessageStreams(second_events.append)
+    await second.listen(HOST, 0)
+    port = second._server.sockets[0].getsockname()[1]
+    return first, first_events, second, second_events, f"{HOST}:{port}"
+
+
+def test_messages_pass_in_both_directions_and_the_end_is_told():
+    async def scenario():
+        first, first_events, second, second_events, address = await pair()
+        first.open(7, address, 500)
+        await until(lambda: first_events)
+        assert first_events == [StreamOpened(7)]
+        first.send(7, Promote(3))
+        await until(lambda: second_events)
+        (received,) = second_events
+        assert received.message == Promote(3)
+        second.send(received.stream_id, Beat())
+        await until(lambda: len(first_events) == 2)
+        assert first_events[1] == MessageReceived(7, Beat())
+        second.close(received.stream_id)
+        await until(lambda: len(first_events) == 3)
+        assert first_events[2] == StreamClosed(7)
+
+    asyncio.run(scenario())
+
+
+def test_nobody_listening_is_told_as_refused():
+    async def scenario():
+        first, events, *_ = await pair()
+        first.open(1, f"{HOST}:9", 500)
+        await until(lambda: events)
+        assert events == [StreamClosed(1, refused=True)]
+
+    asyncio.run(scenario())
+
+
+def test_unreadable_bytes_end_only_their_stream():
+    async def scenario():
+        first, first_events, _, second_events, address = await pair()
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"\xc1\xc1\xc1")
+        assert await asyncio.wait_for(reader.read(), 1) == b""
+        first.open(2, address, 500)
+        await until(lambda: first_events)
+        first.send(2, Promote(1))
+        await until(
+            lambda: any(isinstance(one, MessageReceived) for one in second_events)
+        )
+
+    asyncio.run(scenario())
+
+
+def test_a_closed_stream_takes_no_messages_and_tells_nothing():
+    async def scenario():
+        first, events, _, _, address = await pair()
+        first.open(3, address, 500)
+        await until(lambda: events)
+        first.close(3)
+        first.send(3, Beat())
+        await asyncio.sleep(0.02)
+        assert events == [StreamOpened(3)]
+
+    asyncio.run(scenario())
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -157,7 +157,7 @@
 
 @attrs.frozen
 class RightGained(Event):
-    """This instance may give orders; `zone` is empty for all runners."""
+    """The instance may give orders; `zone` is empty for all runners."""
 
     token: int
     zone: str
@@ -165,7 +165,7 @@
 
 @attrs.frozen
 class RightLost(Event):
-    """This instance may no longer give orders."""
+    """The instance may no longer give orders."""
 
     reason: str
 
--- a/sassafrasloft/instance/stopping.py
+++ b/sassafrasloft/instance/stopping.py
@@ -19,7 +19,7 @@
     handles = (StopRequested, TimerFired)
 
     def __init__(self) -> None:
-        self._closed = False
+        self._closed_at = -1
 
     def react(self, event: Event, board: InstanceBoard) -> None:
         """Begin the stop, and end the process once nothing is open."""
@@ -38,9 +38,12 @@
         tuning = board.tuning
         if elapsed < tuning.ready_before_exit_ms:
             return
-        if not self._closed:
-            self._closed = True
+        if self._closed_at < 0:
+            self._closed_at = board.now
             board.emit(CloseCallers())
+        closed_for = board.now - self._closed_at
+        if closed_for < tuning.closed_before_exit_ms:
+            return
         idle = board.requests.count == 0
         scheduling = board.rights.role is Role.SCHEDULING and board.rights.roster[1:]
         if (idle and not scheduling) or elapsed >= tuning.longest_stop_ms:
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -98,5 +98,7 @@
     # Stopping
     ready_before_exit_ms: Milliseconds = 2_500
     """The balancer needs two missed checks, one a second."""
+    closed_before_exit_ms: Milliseconds = 300
+    """For requests that were sent as idle connections were being closed."""
     longest_stop_ms: Milliseconds = 5_300
     """Before the platform's SIGKILL at 6,000."""
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -245,12 +245,12 @@
             return
         board.set_timer(KEEP_TIMER, board.tuning.right_renewal_ms)
         unconfirmed = board.now - rights.lease_confirmed_at
-        if unconfirmed > board.tuning.right_lease_ms:
-            if not self._followers.has_quorum(board):
-                self._step_down("neither the store nor most instances answer", board)
-                # The others have been missing for longer than that already.
-                self._search.since -= board.tuning.acting_delay_ms
-                return
+        expired = unconfirmed > board.tuning.right_lease_ms
+        if expired and not self._followers.has_quorum(board):
+            self._step_down("neither the store nor most instances answer", board)
+            # The others have been missing for longer than that already.
+            self._search.since -= board.tuning.acting_delay_ms
+            return
         if not self._keep_call and rights.lease_id:
             self._keep_call = board.fresh_id()
             operation = KeepLease(rights.lease_id)
@@ -371,9 +371,9 @@
         if search is None:
             return
         if rights.role is Role.SCHEDULING:
-            if not search.claim_call and rights.record_absent:
-                if board.now >= search.claim_at:
-                    seeking.begin_claim(search, board)
+            due = rights.record_absent and board.now >= search.claim_at
+            if due and not search.claim_call:
+                seeking.begin_claim(search, board)
             return
         self._connect_to_holder(search, board)
         if search.evidence or rights.record_absent:
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -169,7 +169,7 @@
 
 
 def note_orphan(view: RunnerView, listed: RunningRun, board: InstanceBoard) -> None:
-    """Keep a run that no known job asked for, until its job arrives or it is stopped."""
+    """Keep a run that no known job asked for until its job arrives."""
     if listed.task in board.pool.orphans or listed.task in board.pool.live_runs:
         return
     run = Run(
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -460,10 +460,10 @@
             return
         reply = runner.take(order, self.now)
         self._watch_runner(runner)
-        if isinstance(order, HoldRuns) and order.wait_ms:
-            if reply.outcome is OrderOutcome.DONE and not reply.ended:
-                self._wait_for_end(instance, command, runner, order.wait_ms)
-                return
+        done = reply.outcome is OrderOutcome.DONE
+        if isinstance(order, HoldRuns) and order.wait_ms and done and not reply.ended:
+            self._wait_for_end(instance, command, runner, order.wait_ms)
+            return
         self._send_reply(instance, command, reply)
 
     def _take_late(self, command: CallRunner) -> None:
