--- a/sassafrasloft/invariants/auditor.py
+++ b/sassafrasloft/invariants/auditor.py
@@ -1,6 +1,7 @@
 """Counting and raising of violated invariants."""
 
 from collections.abc import Callable
+from enum import StrEnum
 
 from sassafrasloft.errors import InvariantViolated
 from sassafrasloft.invariants.registry import Invariant
@@ -15,25 +16,27 @@
         Whether a violation raises. Tests and randomised runs are strict; a
         serving process counts and logs, since stopping would harm other jobs;
         `on_violation` is called with the invariant and what was found.
+    kinds : StrEnum class
+        The invariants of the program.
     """
 
-    def __init__(self, strict: bool = True) -> None:
+    def __init__(self, strict: bool = True, kinds: type[StrEnum] = Invariant) -> None:
         self._strict = strict
-        self._checks = dict.fromkeys(Invariant, 0)
-        self._violations = dict.fromkeys(Invariant, 0)
-        self.on_violation: Callable[[Invariant, str], None] | None = None
+        self._checks = dict.fromkeys(kinds, 0)
+        self._violations = dict.fromkeys(kinds, 0)
+        self.on_violation: Callable[[StrEnum, str], None] | None = None
 
     @property
-    def checks(self) -> dict[Invariant, int]:
+    def checks(self) -> dict[StrEnum, int]:
         """How often each invariant was checked."""
         return dict(self._checks)
 
     @property
-    def violations(self) -> dict[Invariant, int]:
+    def violations(self) -> dict[StrEnum, int]:
         """How often each invariant did not hold."""
         return dict(self._violations)
 
-    def check(self, invariant: Invariant, holds: bool, detail: str = "") -> bool:
+    def check(self, invariant: StrEnum, holds: bool, detail: str = "") -> bool:
         """Record one check and return whether the invariant holds.
 
         Raises
--- a/sassafrasloft/invariants/registry.py
+++ b/sassafrasloft/invariants/registry.py
@@ -14,7 +14,15 @@
     LEAVING_GETS_NO_WORK = "leaving_gets_no_work"
     PLANNED_STOP_CUTS_NOTHING = "planned_stop_cuts_nothing"
     CONFIGURATION_NEVER_REVERTS = "configuration_never_reverts"
+
+
+class InstanceInvariant(StrEnum):
+    """Promises of an instance that shares runners by one scheduler at a time."""
+
+    NOT_RUN_IS_TRUE = "not_run_is_true"
     ONE_RUN_AT_A_TIME = "one_run_at_a_time"
+    CONFIGURATION_NEVER_REVERTS = "configuration_never_reverts"
+    LEAVING_GETS_NO_WORK = "leaving_gets_no_work"
 
 
 def invariants() -> tuple[Invariant, ...]:
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -15,7 +15,7 @@
     StoreReplied,
     TimerFired,
 )
-from sassafrasloft.invariants import Invariant
+from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.metadata.adoption import StoreDocuments
 from sassafrasloft.metadata.operations import (
     Item,
@@ -127,7 +127,7 @@
                 if not board.configuration.adopt(configuration, board.now):
                     return
                 board.auditor.check(
-                    Invariant.CONFIGURATION_NEVER_REVERTS,
+                    InstanceInvariant.CONFIGURATION_NEVER_REVERTS,
                     board.configuration.current.version > before,
                     f"version {configuration.version} after {before}",
                 )
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -81,7 +81,10 @@
 def look(view: RunnerView, board: InstanceBoard, calls: Calls) -> None:
     """Ask for the runs on a runner at once, beside a waiting hold."""
     token = board.rights.token_for(view.entry.zone)
-    prolonged = lease_end(view, board) if view.runs else 0
+    # A runner that does not answer must not keep its runs: its leases have to end
+    # at a known time.
+    keep = view.runs and not view.unanswered
+    prolonged = lease_end(view, board) if keep else 0
     order = HoldRuns(token, prolonged, view.seen_end, 0)
     view.tried_at = board.now
     timeout = board.tuning.order_timeout_ms * LOOK_TIMEOUT_FACTOR
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -31,7 +31,7 @@
     QueueState,
     SubmitJob,
 )
-from sassafrasloft.invariants import Invariant
+from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import Run, RunEnd, RunState
 from sassafrasloft.scheduling.admission import (
     ADMISSIONS,
@@ -303,7 +303,9 @@
                 task.run is None for task in job.tasks.values()
             )
             board.auditor.check(
-                Invariant.NOT_RUN_IS_TRUE, never_ran, f"job {job.job_id} has begun"
+                InstanceInvariant.NOT_RUN_IS_TRUE,
+                never_ran,
+                f"job {job.job_id} has begun",
             )
         self._end(job, outcome, refusal.reason, board, refusal.retry_after_s)
 
@@ -576,10 +578,15 @@
             board.now,
         )
         board.auditor.check(
-            Invariant.ONE_RUN_AT_A_TIME,
+            InstanceInvariant.ONE_RUN_AT_A_TIME,
             task.name not in board.pool.live_runs,
             f"task {task.name} has a run",
         )
+        board.auditor.check(
+            InstanceInvariant.LEAVING_GETS_NO_WORK,
+            not offer.view.entry.draining,
+            f"task {task.name} on draining runner {run.runner_id}",
+        )
         board.pool.reserve(run)
         job.waiting.remove(task)
         task.state = TaskState.PLACED
--- /dev/null
+++ b/sassafrasloft/testing/fleet/tests/test_invariants_fire.py
@@ -0,0 +1,117 @@
+"""Each promise of an instance is broken on purpose once, and the check fires."""
+
+import attrs
+import pytest
+
+from sassafrasloft.errors import InvariantViolated
+from sassafrasloft.invariants import InstanceInvariant
+from sassafrasloft.metadata.adoption import ConfigurationState
+from sassafrasloft.runs import RunnerPool
+from sassafrasloft.scheduling.controller import SchedulingController
+from sassafrasloft.standins.lease_runner import LeaseRunnerStandin
+from sassafrasloft.testing.fleet import PromiseBroken
+from sassafrasloft.testing.fleet.tests.situations import (
+    LOOKUP,
+    ROUTES,
+    others,
+    scheduler_of,
+    settled_world,
+    submit_lookup,
+    submit_order,
+)
+
+
+def adopt_anything(self, configuration, now):
+    self.current = configuration
+    return True
+
+
+def test_an_older_configuration_is_noticed(monkeypatch):
+    monkeypatch.setattr(ConfigurationState, "adopt", adopt_anything)
+    world = settled_world()
+    world.configure(5, (LOOKUP,))
+    world.run(100)
+    with pytest.raises(InvariantViolated, match="configuration_never_reverts"):
+        world.configure(4, ROUTES)
+        world.run(2_000)
+
+
+def test_work_for_a_leaving_runner_is_noticed(monkeypatch):
+    def usable(self, view, now):
+        return view.contacted
+
+    monkeypatch.setattr(RunnerPool, "usable", usable)
+    world = settled_world(runners=1)
+    for runner in world.runners.values():
+        world.register(attrs.evolve(runner.entry, draining=True))
+    world.run(1_500)
+    with pytest.raises(InvariantViolated, match="leaving_gets_no_work"):
+        submit_lookup(world, 1, scheduler_of(world))
+        world.run(100)
+
+
+def test_a_false_not_run_is_noticed(monkeypatch):
+    """The scheduler's own check sees a refusal of a job that has begun."""
+    monkeypatch.setattr(
+        SchedulingController, "_limit_of", lambda self, job, board: board.now
+    )
+    monkeypatch.setattr(
+        SchedulingController, "_take_accepted", lambda self, run, board: None
+    )
+    world = settled_world(runners=1)
+    with pytest.raises(InvariantViolated, match="not_run_is_true"):
+        for number in range(6):
+            submit_order(world, number, scheduler_of(world))
+            world.run(20)
+
+
+def test_a_second_run_beside_a_live_one_is_noticed(monkeypatch):
+    """The scheduler's own check, with a reservation that forgets live runs."""
+
+    def reserve(self, run):
+        self.runners[run.runner_id].add(run)
+
+    monkeypatch.setattr(RunnerPool, "reserve", reserve)
+    world = settled_world()
+    board = world.instances[scheduler_of(world)].core.board
+    submit_order(world, 1, scheduler_of(world))
+    world.run(50)
+    job = next(iter(board.jobs.open.values()))
+    task = next(iter(job.tasks.values()))
+    with pytest.raises(InvariantViolated, match="one_run_at_a_time"):
+        board.pool.live_runs[task.name] = task.run
+        job.return_task(task)
+        controller = SchedulingController()
+        monkeypatch.setattr(SchedulingController, "_place_tasks", place_without_looking)
+        controller._place_all(board)
+
+
+def place_without_looking(self, job, offers, latest_end, board):
+    for task in list(job.waiting):
+        self._start(job, task, offers[0], board)
+
+
+def test_the_audit_sees_two_runs_that_no_instance_sees(monkeypatch):
+    """Guards the audit itself: runners that ignore fences and leases."""
+    monkeypatch.setattr(LeaseRunnerStandin, "advance", lambda self, now: None)
+    world = settled_world(runners=6)
+    name = others(world)[0]
+    with pytest.raises(PromiseBroken, match="one_run_at_a_time"):
+        submit_lookup(world, 1, name)
+        world.run(20)
+        first = next(one for one in world.runners.values() if one.running)
+        world.cut = lambda one, other: first.entry.runner_id in (one, other)
+        world.run(3_000)
+
+
+def test_a_sound_run_checks_every_promise():
+    world = settled_world()
+    submit_lookup(world, 1, others(world)[0])
+    for number in range(30):
+        submit_order(world, 10 + number, others(world)[1])
+    world.run(1_000)
+    checks = dict.fromkeys(InstanceInvariant, 0)
+    for instance in world.instances.values():
+        for kind, count in instance.core.board.auditor.checks.items():
+            checks[kind] += count
+    assert all(checks.values()), checks
--- a/sassafrasloft/testing/fleet/tests/test_runner_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_runner_faults.py
@@ -49,6 +49,20 @@
     assert share_completed(spread(world, 20)) == 1.0
 
 
+def test_tasks_on_a_runner_that_falls_silent_start_elsewhere():
+    """Guards against leases that are prolonged while nobody answers.
+
+    The tasks of a runner that was cut off waited for its return.
+    """
+    world = settled_world(runners=4)
+    job = submit_lookup(world, 1, others(world)[0])
+    world.run(20)
+    silent = next(one for one in world.runners.values() if one.running)
+    world.cut = lambda one, other: silent.entry.runner_id in (one, other)
+    world.run(1_400)
+    assert completed(job)
+
+
 def test_a_runner_that_restarts_under_its_id_is_used_again():
     world = settled_world({"north": 2}, runners=1)
     name = others(world)[0]
