--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -139,6 +139,13 @@
     configuration: ServiceConfiguration
 
 
+@attrs.frozen
+class ConfigurationOffered(Event):
+    """Another instance has a newer configuration."""
+
+    document: bytes
+
+
 @attrs.frozen
 class RunnersListed(Event):
     """A fresh list of runners was read."""
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -100,6 +100,7 @@
     peers_address: str
     cores: float
     rounds: tuple[ZoneRound, ...] = ()
+    configuration_version: int = 0
 
 
 @register_message("welcome")
@@ -117,6 +118,14 @@
     acting: bool
 
 
+@register_message("configuration")
+@attrs.frozen
+class ConfigurationOffer(Message):
+    """The configuration in force at the sender, as the operator wrote it."""
+
+    document: bytes
+
+
 @register_message("not_scheduling")
 @attrs.frozen
 class NotScheduling(Message):
@@ -257,8 +266,14 @@
 @register_message("handover")
 @attrs.frozen
 class Handover(Message):
-    """What a scheduler that stops or steps down knows of its open jobs."""
+    """What a scheduler that stops or steps down knows of its open jobs.
 
+    `revision` is that of its right. If it was not `acting`, no other runs were
+    started under that right.
+    """
+
+    revision: int
+    acting: bool
     rounds: tuple[ZoneRound, ...]
     jobs: tuple[JobProgress, ...]
 
--- a/sassafrasloft/instance/settings.py
+++ b/sassafrasloft/instance/settings.py
@@ -24,6 +24,8 @@
         What the instance may use; the strongest instances schedule.
     longest_lease_ms : int
         That runners grant.
+    seeds : tuple of str
+        ``IP:port`` for streams of some other instances; they may be gone.
     """
 
     name: str
@@ -35,3 +37,4 @@
     store_address: str
     cores: float = 1.0
     longest_lease_ms: int = 1_000
+    seeds: tuple[str, ...] = ()
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -11,6 +11,7 @@
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
     ConfigurationAdopted,
+    ConfigurationOffered,
     FollowerLost,
     GatewayMessage,
     MessageReceived,
@@ -30,6 +31,7 @@
 from sassafrasloft.instance.messages import (
     Beat,
     CancelJob,
+    ConfigurationOffer,
     Handover,
     HeardQuery,
     HeardReply,
@@ -61,6 +63,7 @@
 KEEP_TIMER = "leadership.keep"
 SEARCH_TIMER = "leadership.search"
 PROMOTE_TIMER = "leadership.promote"
+SEEDS_TIMER = "leadership.seeds"
 PROMOTE_RETRY_MS = 400
 """A successor claims the right within two calls of the store, in milliseconds."""
 LOCAL = 0
@@ -91,7 +94,8 @@
         self._search: Search | None = None
         self._keep_call = 0
         self._ready = False
-        self._refused_promotions: set[str] = set()
+        self._handover: Handover | None = None
+        """What this instance knew as it ceased to schedule; for the next one."""
 
     def before(self, event: Event, board: InstanceBoard) -> None:
         """Give up the right after a pause: others may have taken it over."""
@@ -122,6 +126,7 @@
             self._begin_stop(board)
         elif isinstance(event, Started):
             board.set_timer(BEAT_TIMER, board.tuning.beat_ms)
+            board.set_timer(SEEDS_TIMER, board.tuning.store_retry_ms)
         self._update_readiness(board)
 
     # Timers
@@ -136,6 +141,8 @@
                 self._step_search(board)
         elif name == KEEP_TIMER:
             self._keep_right(board)
+        elif name == SEEDS_TIMER:
+            self._ask_seeds(board)
         elif name == PROMOTE_TIMER:
             self._promote_successor(board)
 
@@ -318,6 +325,7 @@
     def _leave_role(self, reason: str, board: InstanceBoard) -> None:
         """Stop scheduling and send followers away."""
         rights = board.rights
+        self._handover = handover(board)
         record = rights.record
         for stream in self._followers.connected(board):
             if record is not None and record.name != board.settings.name:
@@ -380,6 +388,18 @@
             self._step_towards_claim(search, board)
         self._consider_acting(search, board)
 
+    def _ask_seeds(self, board: InstanceBoard) -> None:
+        """Look for a scheduler without the store, after a start during an outage."""
+        rights = board.rights
+        if rights.role is not Role.SEEKING or rights.record is not None:
+            return
+        board.set_timer(SEEDS_TIMER, board.tuning.store_retry_ms)
+        if rights.record_absent or not board.settings.seeds:
+            return
+        if self._search is None:
+            self._search = Search(board.now)
+        seeking.start_vote(self._search, board)
+
     def _connect_to_holder(self, search: Search, board: InstanceBoard) -> None:
         record = board.rights.record
         if record is None or record.name == board.settings.name:
@@ -540,6 +560,8 @@
         if isinstance(message, Beat):
             if message.roster is not None and stream.stream_id == rights.target:
                 rights.roster = message.roster
+        elif isinstance(message, ConfigurationOffer):
+            board.post(ConfigurationOffered(message.document))
         elif isinstance(message, Hello):
             self._take_hello(stream, message, board)
         elif isinstance(message, Welcome):
@@ -580,7 +602,11 @@
         if rights.role is Role.FOLLOWING and rights.target == stream.stream_id:
             return
         if rights.role is Role.ACTING:
-            self._give_way(stream, board)
+            board.log("acting_ends", zone=board.pool.zone)
+            self._leave_role("the scheduler is back", board)
+        if self._handover is not None and not message.acting:
+            board.emit(SendMessage(stream.stream_id, self._handover))
+            self._handover = None
         rights.role = Role.FOLLOWING
         rights.target = stream.stream_id
         rights.target_heard_at = board.now
@@ -601,12 +627,6 @@
         board.measure("scheduler_absent", searched)
         board.post(TargetChanged(stream.stream_id, message.acting))
 
-    def _give_way(self, stream: StreamState, board: InstanceBoard) -> None:
-        """Give the runners to the scheduler that has the right."""
-        board.log("acting_ends", zone=board.pool.zone)
-        board.emit(SendMessage(stream.stream_id, handover(board)))
-        self._leave_role("the scheduler is back", board)
-
     def _take_not_scheduling(
         self, stream: StreamState, message: NotScheduling, board: InstanceBoard
     ) -> None:
@@ -707,7 +727,6 @@
         )
         rights.known_revision = max(rights.known_revision, message.revision)
         if rights.role is Role.SCHEDULING:
-            board.emit(SendMessage(stream.stream_id, handover(board)))
             self._step_down("handed over to its successor", board)
         elif stream.stream_id == rights.target:
             self._lose_target("it has handed over", False, board)
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -5,6 +5,7 @@
 from sassafrasloft.instance.events import FollowerLost, ZoneReturned
 from sassafrasloft.instance.messages import (
     Beat,
+    ConfigurationOffer,
     Handover,
     Hello,
     JobProgress,
@@ -12,7 +13,7 @@
     Welcome,
     ZoneRound,
 )
-from sassafrasloft.leadership.state import Role, StreamState
+from sassafrasloft.leadership.state import TOKENS_PER_REVISION, Role, StreamState
 from sassafrasloft.scheduling import ScheduledJob, TaskState
 
 RECONNECT_MS = 1_000
@@ -83,6 +84,10 @@
             )
         )
         board.emit(SendMessage(stream.stream_id, Beat(rights.roster)))
+        configuration = board.configuration
+        if message.configuration_version < configuration.current.version:
+            offer = ConfigurationOffer(configuration.document)
+            board.emit(SendMessage(stream.stream_id, offer))
         self._take_rounds(message.rounds, board)
 
     def _take_rounds(self, rounds: tuple[ZoneRound, ...], board: InstanceBoard) -> None:
@@ -170,7 +175,13 @@
         for job in board.jobs.open.values()
         if job.offered
     )
-    return Handover(board.rights.used_rounds(), jobs)
+    rights = board.rights
+    return Handover(
+        rights.base_token // TOKENS_PER_REVISION,
+        rights.role is Role.ACTING,
+        rights.used_rounds(),
+        jobs,
+    )
 
 
 def _names(job: ScheduledJob, state: TaskState) -> tuple[str, ...]:
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -88,6 +88,7 @@
         settings.peers_address,
         settings.cores,
         board.rights.used_rounds(),
+        board.configuration.current.version,
     )
 
 
@@ -119,10 +120,11 @@
         for stream in board.rights.streams.values()
         if stream.purpose == "peer"
     }
-    for one in others_in_roster(board):
-        stream = connected.get(one.peers_address)
+    addresses = [one.peers_address for one in others_in_roster(board)]
+    for address in addresses or board.settings.seeds:
+        stream = connected.get(address)
         if stream is None:
-            open_stream(board, one.peers_address, "peer")
+            open_stream(board, address, "peer")
         elif stream.open:
             ask(stream, board)
 
@@ -184,7 +186,7 @@
     if rights.record_absent:
         return True
     if not rights.roster:
-        return bool(search.evidence)
+        return rights.record is not None and bool(search.evidence)
     return search.vote_started_at >= 0 and majority_lost(search, board)
 
 
--- a/sassafrasloft/metadata/adoption.py
+++ b/sassafrasloft/metadata/adoption.py
@@ -31,6 +31,8 @@
     """The newest configuration that was read; never replaced by an older one."""
 
     current: ServiceConfiguration = EMPTY_CONFIGURATION
+    document: bytes = b""
+    """The configuration in force as the operator wrote it."""
     adopted_at: Milliseconds = -1
     confirmed_at: Milliseconds = -1
     store_reachable: bool = True
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -8,6 +8,7 @@
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
     ConfigurationAdopted,
+    ConfigurationOffered,
     RightGained,
     RunnersListed,
     Started,
@@ -36,7 +37,7 @@
 class MetadataController(Controller):
     """Owns `board.configuration`; posts what else it reads."""
 
-    handles = (Started, StoreReplied, TimerFired, RightGained)
+    handles = (Started, StoreReplied, TimerFired, RightGained, ConfigurationOffered)
 
     def __init__(self) -> None:
         self._watch_call = 0
@@ -58,6 +59,8 @@
             self._list_runners(board)
         elif isinstance(event, RightGained):
             self._list_runners(board)
+        elif isinstance(event, ConfigurationOffered):
+            self._adopt(event.document, "another instance", board)
         elif isinstance(event, TimerFired):
             if event.name == WATCH_TIMER:
                 self._watch(board)
@@ -111,21 +114,22 @@
 
     def _take_item(self, item: Item, board: InstanceBoard) -> None:
         if item.key == board.documents.configuration_key:
-            self._adopt(item, board)
+            if item.deleted:
+                board.log("configuration_deleted", "WARNING")
+            else:
+                self._adopt(item.value, "store", board)
         elif item.key == board.documents.right_key:
             board.post(StoreItemChanged(item.key, item.value, item.revision))
 
-    def _adopt(self, item: Item, board: InstanceBoard) -> None:
-        if item.deleted:
-            board.log("configuration_deleted", "WARNING")
-            return
-        match board.documents.read_configuration(item.value):
+    def _adopt(self, document: bytes, source: str, board: InstanceBoard) -> None:
+        match board.documents.read_configuration(document):
             case Failure(reason):
                 board.log("configuration_unreadable", "ERROR", reason=reason)
             case Success(configuration):
                 before = board.configuration.current.version
                 if not board.configuration.adopt(configuration, board.now):
                     return
+                board.configuration.document = document
                 board.auditor.check(
                     InstanceInvariant.CONFIGURATION_NEVER_REVERTS,
                     board.configuration.current.version > before,
@@ -135,7 +139,7 @@
                     "configuration_adopted",
                     version=configuration.version,
                     before=before,
-                    revision=item.revision,
+                    source=source,
                     routes=len(configuration.routes),
                 )
                 board.emit(SetHttpLimits(configuration.limits))
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -109,6 +109,7 @@
         elif isinstance(event, RightLost):
             board.jobs.open.clear()
             board.jobs.inherited.clear()
+            board.jobs.predecessor_known = False
         elif isinstance(event, RightGained):
             board.set_timer(PRUNE_TIMER, PRUNE_MS)
 
@@ -128,8 +129,7 @@
         self, stream_id: int, message: Message, board: InstanceBoard
     ) -> None:
         if isinstance(message, Handover):
-            for job in message.jobs:
-                board.jobs.inherited[job.job_id] = job
+            self._take_handover(message, board)
             return
         if not board.pool.active:
             revision = board.rights.known_revision
@@ -149,6 +149,18 @@
             )
             self._send(stream_id, QueueState(message.route, pending), board)
 
+    def _take_handover(self, message: Handover, board: InstanceBoard) -> None:
+        """Take what another scheduler knew; its jobs may be here already."""
+        if not message.acting:
+            board.jobs.predecessor_known = True
+        for progress in message.jobs:
+            job = board.jobs.open.get(progress.job_id)
+            if job is None:
+                board.jobs.inherited[progress.job_id] = progress
+            else:
+                self._take_progress(job, progress, board)
+        board.jobs.changed = True
+
     def _send(self, stream_id: int, message: Message, board: InstanceBoard) -> None:
         if stream_id == LOCAL:
             board.post(GatewayMessage(message))
@@ -513,14 +525,14 @@
 
         A runner that has not answered may go on with them until its leases end.
         """
-        if not job.resubmitted:
+        if not job.resubmitted or board.jobs.predecessor_known:
             return True
         tuning = board.tuning
         regained = board.configuration.store_regained_at
         if 0 <= board.now - regained < tuning.missing_grace_ms and regained >= 0:
             # Runners that lost their entries may not be known yet.
             return False
-        lapse = board.settings.longest_lease_ms + tuning.lapse_margin_ms
+        lapse = tuning.lease_ms + tuning.lapse_margin_ms
         silence = tuning.silence_ms
         return not board.pool.unknown_runs_possible(board.now, lapse + silence)
 
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -147,4 +147,6 @@
     answers: dict[str, tuple[JobOutcome, Milliseconds]] = attrs.field(factory=dict)
     inherited: dict[str, JobProgress] = attrs.field(factory=dict)
     """What an earlier scheduler handed over, by job."""
+    predecessor_known: bool = False
+    """Whether the scheduler before this one has told of all of its runs."""
     changed: bool = False
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -199,6 +199,47 @@
     assert all(world.audit.starts[job.job.job_id] == 2 for job in jobs)
 
 
+def test_a_planned_stop_beside_a_dead_runner_delays_no_job():
+    """Guards against jobs that wait for the leases of a runner that is gone.
+
+    The next scheduler cannot reach it, but the former one says what runs there.
+    """
+    for seed in range(8):
+        world = settled_world(seed=seed)
+        old = scheduler_of(world)
+        dead = next(iter(world.runners))
+        world.cut = lambda one, other, dead=dead: dead in (one, other)
+        world.run(1_500)
+        jobs = [submit_lookup(world, n, name) for n, name in enumerate(others(world))]
+        world.run(10)
+        world.stop(old)
+        jobs += [
+            submit_lookup(world, 20 + n, name) for n, name in enumerate(others(world))
+        ]
+        world.run(400)
+        assert all(completed(job) for job in jobs), f"seed {seed}"
+        assert max(job.waited_ms for job in jobs) < 250
+
+
+def test_an_instance_started_during_an_outage_of_the_store_finds_the_scheduler():
+    world = settled_world()
+    scheduler = scheduler_of(world)
+    name = others(world)[0]
+    world.store_down = True
+    world.run(500)
+    world.kill(name)
+    world.run(200)
+    world.start_instance(name, "north")
+    world.run(1_000)
+    started = world.instances[name].core.board
+    assert started.rights.role is Role.FOLLOWING
+    assert started.rights.record.name == scheduler
+    assert world.instances[name].ready
+    job = submit_lookup(world, 1, name)
+    world.run(300)
+    assert completed(job)
+
+
 def test_all_instances_stopped_in_turn():
     world = settled_world()
     jobs = []
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -227,7 +227,8 @@
     def start_instance(self, name: str, zone: str) -> Instance:
         """Start a process."""
         address = f"address-of-{name}"
-        settings = InstanceSettings(name, zone, "", "", address, "", "")
+        seeds = tuple(one.address for one in list(self.instances.values())[:3])
+        settings = InstanceSettings(name, zone, "", "", address, "", "", seeds=seeds)
         core = create_instance(
             settings,
             self.documents,
