--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -158,7 +158,8 @@
 
     `acting_address` is that of the acting scheduler which serves the sender, and
     `acting_zone` the only zone that this one schedules for. `holder` has the right
-    of `revision`, as far as the sender knows.
+    of `revision`, as far as the sender knows. `knows_runners` is false for a sender
+    that has never read their list.
     """
 
     name: str
@@ -169,6 +170,7 @@
     acting_zone: str = ""
     holder: str = ""
     holder_address: str = ""
+    knows_runners: bool = False
 
 
 @register_message("submit")
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -663,6 +663,7 @@
             zone,
             rights.record.name if rights.record else "",
             rights.record.peers_address if rights.record else "",
+            bool(board.pool.entries),
         )
         board.emit(SendMessage(stream.stream_id, reply))
 
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -266,6 +266,7 @@
 ) -> RosterEntry | None:
     """Return who is to act for a zone, or for all if it is empty.
 
+    Only an instance that has read the list of runners can act.
     More than half of the instances concerned have to have lost the scheduler, so
     that one that is cut off alone takes no runners from it.
     """
@@ -281,6 +282,7 @@
     own = next(
         (one for one in board.rights.roster if one.name == board.settings.name), None
     )
-    if own is None:
-        return None
-    return min([own, *lost], key=lambda one: (-one.cores, one.slot))
+    able = [one for one in lost if replies[one.name].knows_runners]
+    if own is not None and board.pool.entries:
+        able.append(own)
+    return min(able, key=lambda one: (-one.cores, one.slot), default=None)
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -129,17 +129,26 @@
         self, entries: tuple[RunnerEntry, ...], board: InstanceBoard
     ) -> None:
         pool = board.pool
-        pool.entries = {entry.runner_id: entry for entry in entries}
+        listed = {entry.runner_id: entry for entry in entries}
+        if self._entries_may_be_missing(board):
+            listed = pool.entries | listed
+        pool.entries = listed
         pool.entries_read_at = board.now
         if not pool.active:
             return
-        for entry in entries:
+        for entry in pool.entries.values():
             self._see(entry, board)
         for view in list(pool.runners.values()):
             if view.runner_id not in pool.entries:
                 self._note_missing(view, board)
         pool.changed = True
 
+    def _entries_may_be_missing(self, board: InstanceBoard) -> bool:
+        """Return whether entries that lapsed in an outage may not be back yet."""
+        regained = board.configuration.store_regained_at
+        age = board.now - regained
+        return regained >= 0 and age < board.tuning.missing_grace_ms
+
     def _see(self, entry: RunnerEntry, board: InstanceBoard) -> None:
         pool = board.pool
         if pool.zone and entry.zone != pool.zone:
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -240,6 +240,37 @@
     assert completed(job)
 
 
+def test_an_instance_without_a_list_of_runners_does_not_act():
+    """Guards against an acting scheduler that was started in the outage."""
+    world = settled_world()
+    zone = "north" if not scheduler_of(world).startswith("north") else "south"
+    world.store_down = True
+    world.run(200)
+    first = f"{zone}-0"
+    world.kill(first)
+    world.run(200)
+    world.start_instance(first, zone)
+    world.run(1_500)
+    cut_zone(world, zone, True)
+    world.run(2_000)
+    job = submit_lookup(world, 1, f"{zone}-1")
+    world.run(300)
+    assert completed(job)
+
+
+def test_runners_whose_entries_lapsed_in_an_outage_are_used_on_its_return():
+    world = settled_world()
+    world.store_down = True
+    world.run(3_000)
+    for runner_id in world.runners:
+        world.unregister(runner_id)
+    world.store_down = False
+    world.run(1_200)
+    jobs = [submit_lookup(world, n, name) for n, name in enumerate(world.instances)]
+    world.run(300)
+    assert all(completed(job) for job in jobs)
+
+
 def test_all_instances_stopped_in_turn():
     world = settled_world()
     jobs = []
