--- a/sassafrasloft/event_loop/process.py
+++ b/sassafrasloft/event_loop/process.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import attrs
+
 from sassafrasloft.blackboard import Command, DecisionCore, Event
 from sassafrasloft.clock import Clock, Milliseconds
 from sassafrasloft.event_loop.actor import InstanceActor
@@ -37,6 +39,7 @@
     StoreReplied,
     TimerFired,
 )
+from sassafrasloft.instance.settings import InstanceSettings
 from sassafrasloft.metadata import StoreOperation, StoreReply
 from sassafrasloft.runs import RunnerOrder, RunnerReply
 from sassafrasloft.workload import HttpLimits
@@ -92,6 +95,8 @@
     store : StoreCalls
     runners : RunnerCalls
     callers : CallerForms
+    load_settings : callable
+        Reads the settings again after SIGHUP.
     """
 
     def __init__(
@@ -102,6 +107,7 @@
         store: StoreCalls,
         runners: RunnerCalls,
         callers: CallerForms,
+        load_settings: Callable[[], InstanceSettings],
     ) -> None:
         self._core = core
         self._board = core.board
@@ -110,6 +116,7 @@
         self._store = store
         self._runners = runners
         self._callers = callers
+        self.load_settings = load_settings
         self._ready = False
         self._exiting = asyncio.Event()
         self.callers_server = HttpServer(self, HttpLimits())
@@ -169,12 +176,30 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop)
         loop.add_signal_handler(signal.SIGINT, self._stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._log.write("INFO", "started", (("zone", settings.zone),))
         self.tell(Started())
         await self._exiting.wait()
         await asyncio.sleep(EXIT_DELAY_S)
         self._log.flush()
 
+    def _reload(self) -> None:
+        """Read the settings again; addresses cannot change while serving."""
+        try:
+            settings = self.load_settings()
+        except Exception as error:
+            self._log.write("ERROR", "settings_unreadable", (("reason", str(error)),))
+            return
+        before = self._board.settings
+        changed = [
+            field.name
+            for field in attrs.fields(type(before))
+            if getattr(before, field.name) != getattr(settings, field.name)
+        ]
+        self._log.write(
+            "INFO", "settings_reloaded", (("changed_need_restart", changed),)
+        )
+
     def _stop(self) -> None:
         self.callers_server.stopping = True
         self.tell(StopRequested())
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -30,7 +30,7 @@
     """A run whose end is not listed this long after the expected time is looked
     for: the answer of a waiting hold may be lost. Durations of tasks in one job
     vary by 15%."""
-    look_again_ms: Milliseconds = 100
+    look_again_ms: Milliseconds = 50
     """Between looks for late ends on one runner."""
     longest_idle_wait_ms: Milliseconds = 1_000
     """Runners without runs need no renewal, only a sign of life."""
@@ -83,6 +83,10 @@
     that is not made, a vote and a call of the store take about this."""
     absence_ms: Milliseconds = 10_000
     """After this an instance no longer counts towards a majority."""
+    slow_beat_ms: Milliseconds = 40
+    """A scheduler whose beats are this late on average has too little processor."""
+    slow_beats: int = 5
+    """Half a second of beats decides; a burst of work is shorter."""
     pause_ms: Milliseconds = 600
     """A gap between events above this means that the process was suspended."""
 
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -66,6 +66,8 @@
 SEEDS_TIMER = "leadership.seeds"
 PROMOTE_RETRY_MS = 400
 """A successor claims the right within two calls of the store, in milliseconds."""
+SLOW_RETRY_MS = 2_000
+"""Before a slow scheduler asks another successor, in milliseconds."""
 LOCAL = 0
 NONE = -1
 
@@ -94,6 +96,10 @@
         self._search: Search | None = None
         self._keep_call = 0
         self._ready = False
+        self._beat_at = 0
+        self._lateness = 0.0
+        """How late beats are, in milliseconds, smoothed."""
+        self._handed_on_at = 0
         self._handover: Handover | None = None
         """What this instance knew as it ceased to schedule; for the next one."""
 
@@ -133,6 +139,7 @@
 
     def _take_timer(self, name: str, board: InstanceBoard) -> None:
         if name == BEAT_TIMER:
+            self._measure_lateness(board)
             board.set_timer(BEAT_TIMER, board.tuning.beat_ms)
             self._beat(board)
         elif name == SEARCH_TIMER:
@@ -158,6 +165,26 @@
                 self._lose_target("silent", True, board)
         self._close_idle(board)
 
+    def _measure_lateness(self, board: InstanceBoard) -> None:
+        """Hand over if this instance has too little processor to schedule.
+
+        Load pattern: a machine of the system turns slow.
+        """
+        tuning = board.tuning
+        late = max(0, board.now - self._beat_at - tuning.beat_ms)
+        self._beat_at = board.now
+        self._lateness += (late - self._lateness) / tuning.slow_beats
+        if not self.slow(board) or board.rights.role is not Role.SCHEDULING:
+            return
+        if board.now - self._handed_on_at > SLOW_RETRY_MS:
+            self._handed_on_at = board.now
+            board.log("too_slow", "WARNING", beats_late_ms=round(self._lateness))
+            self._ask_successor(board)
+
+    def slow(self, board: InstanceBoard) -> bool:
+        """Return whether this instance's beats come too late."""
+        return self._lateness > board.tuning.slow_beat_ms
+
     def _close_idle(self, board: InstanceBoard) -> None:
         """Close streams to peers that are no longer needed, and dead ones."""
         rights = board.rights
@@ -697,18 +724,24 @@
         rights = board.rights
         if rights.role is not Role.SCHEDULING or not board.stopping.requested:
             return
+        self._ask_successor(board)
+        board.set_timer(PROMOTE_TIMER, PROMOTE_RETRY_MS)
+
+    def _ask_successor(self, board: InstanceBoard) -> None:
         successor = self._followers.successor(board)
         if successor is None:
             return
         board.log("successor_asked", instance=successor.name)
-        board.emit(SendMessage(successor.stream_id, Promote(rights.known_revision)))
-        board.set_timer(PROMOTE_TIMER, PROMOTE_RETRY_MS)
+        promote = Promote(board.rights.known_revision)
+        board.emit(SendMessage(successor.stream_id, promote))
 
     def _take_promotion(
         self, stream: StreamState, message: Promote, board: InstanceBoard
     ) -> None:
         if board.stopping.requested or stream.stream_id != board.rights.target:
             return
+        if self.slow(board):
+            return
         board.rights.known_revision = max(board.rights.known_revision, message.revision)
         if self._search is None:
             self._search = Search(board.now, "the scheduler is about to stop")
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -360,3 +360,15 @@
     job = submit_lookup(world, 1, others(world)[0])
     world.run(300)
     assert completed(job)
+
+
+def test_a_scheduler_with_too_little_processor_hands_over():
+    """Load pattern: the scheduler's machine turns six times slower."""
+    world = settled_world()
+    slow = scheduler_of(world)
+    world.timer_delay[slow] = 80
+    world.run(1_500)
+    assert scheduler_of(world) != slow
+    jobs = [submit_lookup(world, n, name) for n, name in enumerate(world.instances)]
+    world.run(400)
+    assert all(completed(job) for job in jobs)
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -150,6 +150,8 @@
         """Share of the store's writes whose replies are lost."""
         self.late_orders = 0.0
         """Share of starts and stops that get no answer and are carried out late."""
+        self.timer_delay: dict[str, int] = {}
+        """How late the timers of an instance are, in milliseconds."""
         self.lost_holds = 0.0
         """Share of holds that get no answer."""
         self.durations: dict[str, StandinTask] = {}
@@ -369,7 +371,7 @@
                 del instance.timers[name]
                 self.tell(instance, TimerFired(name))
 
-        self.queue.at(at, fire)
+        self.queue.at(at + self.timer_delay.get(instance.name, 0), fire)
 
     def _answer(
         self, instance: Instance, request_id: int, answer: CallerAnswer
