--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -294,7 +294,9 @@
             return
         self._target = NO_TARGET
         self._lost_at = board.now
-        settle = board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
+        tuning = board.tuning
+        settle = board.settings.longest_lease_ms + tuning.lapse_margin_ms
+        settle += tuning.silence_ms
         for job in board.requests.jobs.values():
             if self._acting and job.sent_to_current:
                 job.settled_at = board.now + settle
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -164,10 +164,14 @@
 
 @attrs.frozen
 class RightGained(Event):
-    """The instance may give orders; `zone` is empty for all runners."""
+    """The instance may give orders; `zone` is empty for all runners.
+
+    `acting` says that another scheduler may still be at work out of reach.
+    """
 
     token: int
     zone: str
+    acting: bool = False
 
 
 @attrs.frozen
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -34,8 +34,10 @@
     """Between looks for late ends on one runner."""
     longest_idle_wait_ms: Milliseconds = 1_000
     """Runners without runs need no renewal, only a sign of life."""
-    orphan_grace_ms: Milliseconds = 400
+    orphan_grace_ms: Milliseconds = 150
     """Instances hand in their open jobs again within this time of a takeover."""
+    stop_ms: Milliseconds = 60
+    """A runner takes up to 50 to stop a run, and the order has to travel."""
     lapse_margin_ms: Milliseconds = 60
     """Beyond a lease: 2% of it and the time an order may travel."""
     runner_list_ms: Milliseconds = 1_000
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -522,7 +522,7 @@
         board.log("acting_scheduler", "WARNING", zone=zone, token=token)
         board.count("acting_rights_used")
         self._followers.begin(board)
-        board.post(RightGained(rights.base_token, zone))
+        board.post(RightGained(rights.base_token, zone, acting=True))
         board.post(TargetChanged(LOCAL, acting=True))
 
     def _leave_if_fenced(self, board: InstanceBoard) -> None:
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -76,6 +76,7 @@
 
     def _activate(self, event: RightGained, board: InstanceBoard) -> None:
         pool = board.pool
+        pool.acting = event.acting
         if pool.active:
             self._renew_token(event, board)
             return
@@ -280,6 +281,7 @@
             board.log("runner_contacted", runner=view.runner_id)
         self._take_ends(view, reply, board)
         self._compare_running(view, reply, call_id, board)
+        self._stop_orphans(board)
         holding.continue_holding(view, board, self._calls)
         board.pool.changed = True
 
@@ -383,19 +385,23 @@
         self._stop_orphans(board)
 
     def _end_lapsed(self, view: RunnerView, board: InstanceBoard) -> None:
+        tuning = board.tuning
+        # Another scheduler that has taken the runner may keep its runs this long.
+        taken = tuning.orphan_grace_ms + tuning.stop_ms
         for run in list(view.runs.values()):
-            if board.now > run.lease_until + board.tuning.lapse_margin_ms:
+            if board.now > run.lease_until + tuning.lapse_margin_ms + taken:
                 board.count("runs_lapsed")
                 self._finish(view, run, RunEnd.LAPSED, "its lease ended", board)
 
     def _stop_orphans(self, board: InstanceBoard) -> None:
-        grace = board.tuning.orphan_grace_ms
+        grace = 0 if board.pool.acting else board.tuning.orphan_grace_ms
         for orphan in list(board.pool.orphans.values()):
             if board.now - orphan.sent_at < grace:
                 continue
-            del board.pool.orphans[orphan.task]
             view = board.pool.runners.get(orphan.runner_id)
-            if view is not None:
+            if view is None:
+                del board.pool.orphans[orphan.task]
+            elif orphan.state is not RunState.STOPPING:
                 self.stop(view, orphan, board)
 
 
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -83,7 +83,7 @@
     token = board.rights.token_for(view.entry.zone)
     # A runner that does not answer must not keep its runs: its leases have to end
     # at a known time.
-    keep = view.runs and not view.unanswered
+    keep = board.pool.keeps_runs(view) and not view.unanswered
     prolonged = lease_end(view, board) if keep else 0
     order = HoldRuns(token, prolonged, view.seen_end, 0)
     view.tried_at = board.now
@@ -98,7 +98,7 @@
     tuning = board.tuning
     wait_ms = tuning.renewal_ms if view.runs else tuning.longest_idle_wait_ms
     token = board.rights.token_for(view.entry.zone)
-    lease = lease_end(view, board) if view.runs else 0
+    lease = lease_end(view, board) if board.pool.keeps_runs(view) else 0
     order = HoldRuns(token, lease, view.seen_end, wait_ms)
     timeout = wait_ms + tuning.hold_slack_ms
     view.hold_sent_at = board.now
@@ -115,7 +115,7 @@
             look(view, board, calls)
         return
     due = view.lease_until - tuning.lease_ms + tuning.renewal_ms + SWEEP_SLACK_MS
-    if view.runs and (board.now >= due or end_is_late(view, board)):
+    if board.pool.keeps_runs(view) and (board.now >= due or end_is_late(view, board)):
         look(view, board, calls)
     continue_holding(view, board, calls)
 
@@ -184,7 +184,8 @@
 
 def in_takeover(view: RunnerView, board: InstanceBoard) -> bool:
     """Return whether instances may still hand in jobs of an earlier scheduler."""
-    return board.now - view.contacted_at < board.tuning.orphan_grace_ms
+    grace = 0 if board.pool.acting else board.tuning.orphan_grace_ms
+    return board.now - view.contacted_at <= grace
 
 
 def note_orphan(view: RunnerView, listed: RunningRun, board: InstanceBoard) -> None:
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -139,6 +139,8 @@
 
     active: bool = False
     zone: str = ""
+    acting: bool = False
+    """Whether the scheduler before may still be at work out of reach."""
     entries: dict[str, RunnerEntry] = attrs.field(factory=dict)
     """The newest list of runners, kept whether or not this instance schedules."""
     entries_read_at: Milliseconds = -1
@@ -161,6 +163,23 @@
             and view.unusable_until <= now
             and view.unanswered == 0
             and not (view.quarantines and view.runs)
+            and not (self.acting and self.has_orphans(view))
+        )
+
+    def has_orphans(self, view: RunnerView) -> bool:
+        """Return whether a runner has runs that no known job asked for."""
+        return any(task in self.orphans for task in view.runs)
+
+    def keeps_runs(self, view: RunnerView) -> bool:
+        """Return whether a runner has runs whose leases are to be prolonged.
+
+        Those of a scheduler that may still be at work have to end in the time that
+        it expects.
+        """
+        return any(
+            task not in self.orphans
+            or not (self.acting or run.state is RunState.STOPPING)
+            for task, run in view.runs.items()
         )
 
     def reserve(self, run: Run) -> None:
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -246,8 +246,7 @@
             if job.job_id not in board.jobs.open:
                 return
         for task in list(job.waiting):
-            if task.name in board.pool.orphans:
-                self._adopt(job, task, board)
+            self._adopt_if_running(job, task, board)
 
     def _take_progress(
         self, job: ScheduledJob, progress: JobProgress, board: InstanceBoard
@@ -265,6 +264,14 @@
                     self._end(job, JobOutcome.COMPLETED, "inherited", board)
                     return
 
+    def _adopt_if_running(
+        self, job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
+    ) -> None:
+        """Take over a run of an earlier scheduler unless it is being stopped."""
+        orphan = board.pool.orphans.get(task.name)
+        if orphan is not None and orphan.state is not RunState.STOPPING:
+            self._adopt(job, task, board)
+
     def _adopt(
         self, job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
     ) -> None:
@@ -561,7 +568,7 @@
             if task.name in board.pool.live_runs:
                 continue
             if task.name in board.pool.orphans:
-                self._adopt(job, task, board)
+                self._adopt_if_running(job, task, board)
                 continue
             if board.now < task.not_before:
                 continue
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -5,6 +5,7 @@
 from sassafrasloft.gateway import AnswerKind
 from sassafrasloft.leadership import Role
 from sassafrasloft.testing.fleet.tests.situations import (
+    ORDER,
     completed,
     others,
     scheduler_of,
@@ -12,7 +13,7 @@
     submit_lookup,
     submit_order,
 )
-from sassafrasloft.testing.fleet.world import STORE
+from sassafrasloft.testing.fleet.world import STORE, simple_job
 
 
 def zone_of(world, name):
@@ -153,6 +154,46 @@
         world.run(3_000)
 
 
+def test_an_acting_scheduler_keeps_no_runs_of_another_one():
+    """Guards against leases that an acting scheduler prolongs.
+
+    The scheduler outside of the cut takes the runs on the zone's runners for ended
+    once their leases are over, and starts the tasks again.
+    """
+    for seed in range(40):
+        world = settled_world(seed=seed, runners=3)
+        scheduler = scheduler_of(world)
+        zone = world.instances[scheduler].zone
+        cut_off = next(one for one in ("north", "south") if one != zone)
+        outside = [one for one, it in world.instances.items() if it.zone != cut_off]
+        for number in range(8):
+            job = simple_job(number, 2, 14_000, 1_400 + 40 * seed)
+            world.submit(job, ORDER, outside[number % len(outside)], 4_000)
+        world.run(30)
+        cut_zone(world, cut_off, seed % 2 == 0)
+        world.run(5_000)
+
+
+def test_a_run_that_cannot_be_stopped_blocks_its_task():
+    """Guards against a second run while the stop of an unknown run is unanswered."""
+    for seed in range(20):
+        world = settled_world(seed=seed)
+        old = scheduler_of(world)
+        names = others(world)
+        job = simple_job(1, 4, 14_000, 2_500)
+        known = world.submit(job, ORDER, names[0], 6_000)
+        world.run(100)
+        world.give_up(known, reset=True)
+        world.kill(names[0])
+        world.kill(old)
+        world.late_orders = 0.8
+        world.run(700)
+        world.submit(job, ORDER, names[1], 6_000)
+        world.run(1_500)
+        world.late_orders = 0.0
+        world.run(6_000)
+
+
 def test_runs_on_runners_that_the_next_scheduler_does_not_know_go_on_alone():
     """Guards against a second run while entries of a cut zone have lapsed.
 
