--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -274,7 +274,19 @@
 
 @attrs.frozen
 class RunOverdue(Event):
-    """A run takes much longer than expected."""
+    """A run takes much longer than expected.
+
+    Parameters
+    ----------
+    run : Run
+    elapsed_ms : int
+    remaining_ms : float
+        By the progress that its runner lists; infinite if it stands still.
+    slowness : float
+        Of its runner, by other runs that have ended there.
+    """
 
     run: Run
+    elapsed_ms: Milliseconds
     remaining_ms: float
+    slowness: float
--- a/sassafrasloft/runs/health.py
+++ b/sassafrasloft/runs/health.py
@@ -110,22 +110,14 @@
         if run.percent_read_at < run.accepted_at + run.expected_ms:
             unknown = True
             continue
-        _note_overdue(view, run, elapsed, board)
-        board.post(RunOverdue(run, _remaining_ms(run, elapsed)))
+        if run.percent_done <= 0:
+            quarantine(view, "tasks stand still", board)
+        remaining = _remaining_ms(run, elapsed)
+        slowness = current_slowness(view, board.now)
+        board.post(RunOverdue(run, elapsed, remaining, slowness))
     return unknown
 
 
-def _note_overdue(
-    view: RunnerView, run: Run, elapsed: Milliseconds, board: InstanceBoard
-) -> None:
-    ratio = min(MOST_SLOWNESS, elapsed / max(1.0, run.expected_ms))
-    if ratio > current_slowness(view, board.now):
-        view.slowness = ratio
-        view.slowness_at = board.now
-    if run.percent_done <= 0:
-        quarantine(view, "tasks stand still", board)
-
-
 def _remaining_ms(run: Run, elapsed: Milliseconds) -> float:
     if run.percent_done <= 0:
         return float("inf")
--- a/sassafrasloft/scheduling/stragglers.py
+++ b/sassafrasloft/scheduling/stragglers.py
@@ -21,7 +21,7 @@
     """Return whether a new run would end sooner, and before the caller leaves."""
     if task.starts >= MOST_STARTS:
         return False
-    again = overdue.run.expected_ms + STOP_MS
+    again = _expected_again_ms(overdue) + STOP_MS
     if overdue.remaining_ms < GAIN_FACTOR * again:
         return False
     if board.now + again > job.deadline_at:
@@ -33,3 +33,15 @@
         if view.runner_id != overdue.run.runner_id
         and board.pool.usable(view, board.now)
     )
+
+
+def _expected_again_ms(overdue: RunOverdue) -> float:
+    """Return how long a new run is expected to take on a sound runner.
+
+    A task may simply be longer than declared: only the slowness that other runs
+    have shown on the runner speaks for another one.
+    """
+    if overdue.remaining_ms == float("inf"):
+        return overdue.run.expected_ms
+    total = overdue.elapsed_ms + overdue.remaining_ms
+    return total / max(1.0, overdue.slowness)
--- a/sassafrasloft/testing/fleet/tests/test_runner_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_runner_faults.py
@@ -94,6 +94,18 @@
     assert share_completed(jobs) == 1.0
 
 
+def test_a_task_that_lasts_longer_than_declared_is_left_alone():
+    """Guards against work that is thrown away and begun again elsewhere."""
+    world = settled_world(runners=4)
+    name = f"{1:016x}.0.0.0"
+    world.durations[name] = StandinTask(Resources(14_000, 64, 0), 800)
+    job = submit_lookup(world, 1, others(world)[0])
+    world.run(1_200)
+    assert completed(job)
+    assert world.audit.starts[job.job.job_id] == 4
+    assert job.waited_ms < 850
+
+
 def test_slow_runners_are_used_last():
     world = settled_world(runners=4)
     slow = next(iter(world.runners.values()))
