--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -1,22 +1,14 @@
 """The life of an instance with respect to the right to schedule."""
 
-from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.blackboard import Event
 from sassafrasloft.instance.board import InstanceBoard
-from sassafrasloft.instance.commands import (
-    CallStore,
-    CloseStream,
-    SendMessage,
-    SetReadiness,
-)
+from sassafrasloft.instance.commands import CloseStream, SendMessage, SetReadiness
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
     ConfigurationAdopted,
     ConfigurationOffered,
-    FollowerLost,
     GatewayMessage,
     MessageReceived,
-    RightGained,
-    RightLost,
     SchedulerMessage,
     Started,
     StopRequested,
@@ -25,7 +17,6 @@
     StreamClosed,
     StreamOpened,
     TargetChanged,
-    TargetLost,
     TimerFired,
 )
 from sassafrasloft.instance.messages import (
@@ -49,34 +40,24 @@
     Welcome,
 )
 from sassafrasloft.leadership import seeking
-from sassafrasloft.leadership.followers import Followers, handover
-from sassafrasloft.leadership.seeking import Search
-from sassafrasloft.leadership.state import (
-    TOKENS_PER_REVISION,
-    RightRecord,
-    Role,
-    StreamState,
+from sassafrasloft.leadership.roles import (
+    BEAT_TIMER,
+    KEEP_TIMER,
+    NONE,
+    PROMOTE_TIMER,
+    SEARCH_TIMER,
+    SEEDS_TIMER,
 )
-from sassafrasloft.metadata import KeepLease, LeaseGranted, StoreFailure, StoreReply
-
-BEAT_TIMER = "leadership.beat"
-KEEP_TIMER = "leadership.keep"
-SEARCH_TIMER = "leadership.search"
-PROMOTE_TIMER = "leadership.promote"
-SEEDS_TIMER = "leadership.seeds"
-PROMOTE_RETRY_MS = 400
-"""A successor claims the right within two calls of the store, in milliseconds."""
-SLOW_RETRY_MS = 2_000
-"""Before a slow scheduler asks another successor, in milliseconds."""
-LOCAL = 0
-NONE = -1
+from sassafrasloft.leadership.search_steps import SchedulerSearch
+from sassafrasloft.leadership.seeking import Search
+from sassafrasloft.leadership.state import RightRecord, Role, StreamState
 
 _TO_SCHEDULER = (SubmitJob, CancelJob, QueryJob, QueryQueue)
 _TO_GATEWAY = (JobAnswer, JobState, QueueState)
 
 
 @CONTROLLERS.register("leadership", order=20)
-class LeadershipController(Controller):
+class LeadershipController(SchedulerSearch):
     """Owns `board.rights`."""
 
     handles = (
@@ -91,18 +72,6 @@
         ConfigurationAdopted,
     )
 
-    def __init__(self) -> None:
-        self._followers = Followers()
-        self._search: Search | None = None
-        self._keep_call = 0
-        self._ready = False
-        self._beat_at = 0
-        self._lateness = 0.0
-        """How late beats are, in milliseconds, smoothed."""
-        self._handed_on_at = 0
-        self._handover: Handover | None = None
-        """What this instance knew as it ceased to schedule; for the next one."""
-
     def before(self, event: Event, board: InstanceBoard) -> None:
         """Give up the right after a pause: others may have taken it over."""
         if isinstance(event, Started):
@@ -136,8 +105,6 @@
             board.set_timer(SEEDS_TIMER, board.tuning.store_retry_ms)
         self._update_readiness(board)
 
-    # Timers
-
     def _take_timer(self, name: str, board: InstanceBoard) -> None:
         if name == BEAT_TIMER:
             self._measure_lateness(board)
@@ -166,26 +133,6 @@
                 self._lose_target("silent", True, board)
         self._close_idle(board)
 
-    def _measure_lateness(self, board: InstanceBoard) -> None:
-        """Hand over if this instance has too little processor to schedule.
-
-        Load pattern: a machine of the system turns slow.
-        """
-        tuning = board.tuning
-        late = max(0, board.now - self._beat_at - tuning.beat_ms)
-        self._beat_at = board.now
-        self._lateness += (late - self._lateness) / tuning.slow_beats
-        if not self.slow(board) or board.rights.role is not Role.SCHEDULING:
-            return
-        if board.now - self._handed_on_at > SLOW_RETRY_MS:
-            self._handed_on_at = board.now
-            board.log("too_slow", "WARNING", beats_late_ms=round(self._lateness))
-            self._ask_successor(board)
-
-    def slow(self, board: InstanceBoard) -> bool:
-        """Return whether this instance's beats come too late."""
-        return self._lateness > board.tuning.slow_beat_ms
-
     def _close_idle(self, board: InstanceBoard) -> None:
         """Close streams to peers that are no longer needed, and dead ones."""
         rights = board.rights
@@ -195,103 +142,6 @@
                 del rights.streams[stream.stream_id]
                 board.emit(CloseStream(stream.stream_id))
 
-    # The right in the store
-
-    def _take_record(self, event: StoreItemChanged, board: InstanceBoard) -> None:
-        rights = board.rights
-        if event.revision == 0:
-            self._note_absent(board)
-            return
-        record = RightRecord.from_bytes(event.value, event.revision)
-        if record is None:
-            board.log("right_unreadable", "ERROR", revision=event.revision)
-            return
-        rights.record_absent = False
-        if record.revision <= rights.known_revision and rights.record is not None:
-            return
-        board.log(
-            "right_changed",
-            holder=record.name,
-            revision=record.revision,
-            before=rights.known_revision,
-        )
-        rights.record = record
-        rights.known_revision = record.revision
-        if record.incarnation == board.incarnation:
-            self._note_own_record(record, board)
-        elif self._is_target(record, board):
-            return
-        elif rights.role in (Role.SCHEDULING, Role.FOLLOWING):
-            self._follow_record(board)
-        else:
-            if self._search is not None:
-                self._search.turn_to_new_holder()
-            self._close_target_streams(board)
-            self._begin_search("", board)
-
-    def _close_target_streams(self, board: InstanceBoard) -> None:
-        """Close streams that were opened to a former holder."""
-        rights = board.rights
-        for stream in list(rights.streams.values()):
-            if stream.purpose == "target" and stream.stream_id != rights.target:
-                del rights.streams[stream.stream_id]
-                board.emit(CloseStream(stream.stream_id))
-
-    def _note_own_record(self, record: RightRecord, board: InstanceBoard) -> None:
-        """Take the right if a claim took effect before its reply arrived."""
-        search = self._search
-        if search is not None and search.claim_lease:
-            board.rights.lease_id = search.claim_lease
-            board.rights.lease_confirmed_at = board.now
-        self._become_scheduler(record, board)
-
-    def _is_target(self, record: RightRecord, board: InstanceBoard) -> bool:
-        """Return whether the present scheduler has taken its right again."""
-        stream = board.rights.streams.get(board.rights.target)
-        return stream is not None and stream.address == record.peers_address
-
-    def _note_absent(self, board: InstanceBoard) -> None:
-        rights = board.rights
-        rights.record_absent = True
-        if rights.role is Role.SCHEDULING:
-            board.log("right_lapsed", "WARNING")
-            self._claim_again(board)
-        elif rights.role is Role.SEEKING and self._search is None:
-            self._begin_search("nobody has the right", board)
-
-    def _claim_again(self, board: InstanceBoard) -> None:
-        """Take the right again after its lease ended; scheduling goes on."""
-        if self._search is None:
-            self._search = Search(board.now, "own right lapsed")
-        if not self._search.claim_call:
-            seeking.begin_claim(self._search, board)
-        board.set_timer(SEARCH_TIMER, seeking.STEP_MS)
-
-    def _follow_record(self, board: InstanceBoard) -> None:
-        """Leave the present scheduler for the one in the newest record."""
-        if board.rights.role is Role.SCHEDULING:
-            self._step_down("another instance has the right", board)
-        else:
-            self._lose_target("the right has passed on", False, board)
-
-    def _keep_right(self, board: InstanceBoard) -> None:
-        rights = board.rights
-        if rights.role is not Role.SCHEDULING:
-            return
-        board.set_timer(KEEP_TIMER, board.tuning.right_renewal_ms)
-        unconfirmed = board.now - rights.lease_confirmed_at
-        expired = unconfirmed > board.tuning.right_lease_ms
-        if expired and not self._followers.has_quorum(board):
-            self._step_down("neither the store nor most instances answer", board)
-            # The others have been missing for longer than that already.
-            self._search.since -= board.tuning.acting_delay_ms
-            return
-        if not self._keep_call and rights.lease_id:
-            self._keep_call = board.fresh_id()
-            operation = KeepLease(rights.lease_id)
-            timeout = board.tuning.store_timeout_ms
-            board.emit(CallStore(self._keep_call, operation, timeout))
-
     def _take_reply(self, event: StoreReplied, board: InstanceBoard) -> None:
         search = self._search
         if event.call_id == self._keep_call:
@@ -302,238 +152,6 @@
             if record is not None:
                 self._become_scheduler(record, board)
 
-    def _take_kept(self, reply: StoreReply, board: InstanceBoard) -> None:
-        if isinstance(reply, LeaseGranted):
-            board.rights.lease_confirmed_at = board.now
-        elif isinstance(reply, StoreFailure) and reply.no_such_lease:
-            board.rights.lease_id = 0
-
-    # Roles
-
-    def _become_scheduler(self, record: RightRecord, board: InstanceBoard) -> None:
-        rights = board.rights
-        if board.stopping.requested and rights.role is not Role.SCHEDULING:
-            return
-        again = rights.role is Role.SCHEDULING
-        self._search = None
-        rights.record = record
-        rights.record_absent = False
-        rights.known_revision = record.revision
-        rights.base_token = record.revision * TOKENS_PER_REVISION
-        rights.rounds.clear()
-        rights.slot = 0
-        old_target = rights.target
-        rights.role = Role.SCHEDULING
-        rights.target = LOCAL
-        board.set_timer(KEEP_TIMER, board.tuning.right_renewal_ms)
-        board.log("right_won", revision=record.revision, token=rights.base_token)
-        board.count("rights_won")
-        if again:
-            board.post(RightGained(rights.base_token, ""))
-            return
-        self._announce_to(old_target, record, board)
-        self._followers.begin(board)
-        board.post(RightGained(rights.base_token, ""))
-        board.post(TargetChanged(LOCAL))
-
-    def _announce_to(
-        self, stream_id: int, record: RightRecord, board: InstanceBoard
-    ) -> None:
-        """Tell the scheduler that promoted this instance."""
-        if stream_id > 0:
-            moved = SchedulerMoved(record.name, record.peers_address, record.revision)
-            board.emit(SendMessage(stream_id, moved))
-
-    def _step_down(self, reason: str, board: InstanceBoard) -> None:
-        board.log("right_lost", "WARNING", reason=reason)
-        board.count("rights_lost")
-        self._leave_role(reason, board)
-        self._begin_search("", board)
-
-    def _leave_role(self, reason: str, board: InstanceBoard) -> None:
-        """Stop scheduling and send followers away."""
-        rights = board.rights
-        self._handover = handover(board)
-        record = rights.record
-        for stream in self._followers.connected(board):
-            if record is not None and record.name != board.settings.name:
-                moved = SchedulerMoved(
-                    record.name, record.peers_address, record.revision
-                )
-            else:
-                moved = NotScheduling(board.settings.name, rights.known_revision)
-            board.emit(SendMessage(stream.stream_id, moved))
-            stream.follower = False
-            board.post(FollowerLost(stream.stream_id, False))
-        board.post(RightLost(reason))
-        rights.role = Role.SEEKING
-        rights.target = NONE
-        rights.lease_id = 0
-        board.post(TargetLost(silent=False))
-
-    def _lose_target(self, reason: str, silent: bool, board: InstanceBoard) -> None:
-        rights = board.rights
-        board.log(
-            "scheduler_lost",
-            "WARNING",
-            reason=reason,
-            heard_ms_ago=board.now - rights.target_heard_at,
-            revision=rights.known_revision,
-        )
-        board.count("schedulers_lost")
-        stream = rights.streams.pop(rights.target, None)
-        if stream is not None:
-            board.emit(CloseStream(stream.stream_id))
-        rights.role = Role.SEEKING
-        rights.target = NONE
-        board.post(TargetLost(silent))
-        self._begin_search("", board)
-
-    # The search
-
-    def _begin_search(self, evidence: str, board: InstanceBoard) -> None:
-        if self._search is None:
-            self._search = Search(board.now, evidence)
-        else:
-            search = self._search
-            search.connect_at = board.now
-            search.evidence = evidence
-        board.set_timer(SEARCH_TIMER, seeking.STEP_MS)
-        self._step_search(board)
-
-    def _step_search(self, board: InstanceBoard) -> None:
-        search = self._search
-        rights = board.rights
-        if search is None:
-            return
-        if rights.role is Role.SCHEDULING:
-            due = rights.record_absent and board.now >= search.claim_at
-            if due and not search.claim_call:
-                seeking.begin_claim(search, board)
-            return
-        self._connect_to_holder(search, board)
-        if search.evidence or rights.record_absent:
-            self._step_towards_claim(search, board)
-        self._consider_acting(search, board)
-
-    def _ask_seeds(self, board: InstanceBoard) -> None:
-        """Look for a scheduler without the store, after a start during an outage."""
-        rights = board.rights
-        if rights.role is not Role.SEEKING or rights.record is not None:
-            return
-        board.set_timer(SEEDS_TIMER, board.tuning.store_retry_ms)
-        if rights.record_absent or not board.settings.seeds:
-            return
-        if self._search is None:
-            self._search = Search(board.now)
-        seeking.start_vote(self._search, board)
-
-    def _connect_to_holder(self, search: Search, board: InstanceBoard) -> None:
-        record = board.rights.record
-        if record is None or record.name == board.settings.name:
-            if record is not None and not search.evidence:
-                search.evidence = "the record names this instance"
-            return
-        waiting = self._target_stream(board)
-        if waiting is not None:
-            if board.now - waiting.opened_at < 2 * board.tuning.connect_timeout_ms:
-                return
-            del board.rights.streams[waiting.stream_id]
-            board.emit(CloseStream(waiting.stream_id))
-            search.evidence = "its instance does not answer"
-        if board.now < search.connect_at:
-            return
-        search.connect_at = board.now + seeking.RETRY_MS
-        seeking.open_stream(board, record.peers_address, "target")
-
-    def _target_stream(self, board: InstanceBoard) -> StreamState | None:
-        streams = board.rights.streams.values()
-        return next((one for one in streams if one.purpose == "target"), None)
-
-    def _step_towards_claim(self, search: Search, board: InstanceBoard) -> None:
-        if board.rights.roster and seeking.vote_due(search, board):
-            seeking.start_vote(search, board)
-        if search.claim_call or not seeking.may_claim(search, board):
-            return
-        if search.claim_at < 0:
-            delay = seeking.rank(search, board) * board.tuning.rank_delay_ms
-            if not board.rights.roster:
-                delay = self._blind_delay(board)
-            search.claim_at = board.now + delay
-        if board.now >= search.claim_at:
-            seeking.begin_claim(search, board)
-
-    def _blind_delay(self, board: InstanceBoard) -> int:
-        """Let stronger instances go first when no others are known."""
-        weakness = max(0.0, 2.0 - board.settings.cores)
-        step = board.tuning.rank_delay_ms
-        return int(weakness * 2 * step) + board.random.randrange(step)
-
-    def _consider_acting(self, search: Search, board: InstanceBoard) -> None:
-        """Act as scheduler if none can be had for long, or follow who does."""
-        rights = board.rights
-        tuning = board.tuning
-        if rights.role is Role.ACTING:
-            return
-        if board.now - search.since < tuning.acting_delay_ms:
-            return
-        first = search.first_vote_at < 0
-        if seeking.vote_due(search, board):
-            seeking.start_vote(search, board)
-        if first or board.now - search.first_vote_at < tuning.vote_ms:
-            return
-        if seeking.someone_hears(search, board):
-            return
-        majority = seeking.majority_lost(search, board)
-        store_answers = board.configuration.store_reachable and not search.claim_failed
-        if majority and store_answers:
-            return
-        address = seeking.acting_known(search, board)
-        if address:
-            self._follow_acting(address, board)
-            return
-        zone = "" if majority else board.settings.zone
-        leader = seeking.acting_leader(search, zone, board)
-        if leader is None:
-            return
-        if leader.name == board.settings.name:
-            self._become_acting(leader.slot, zone, board)
-        else:
-            self._follow_acting(leader.peers_address, board)
-
-    def _follow_acting(self, address: str, board: InstanceBoard) -> None:
-        streams = board.rights.streams.values()
-        if address == board.settings.peers_address:
-            return
-        if not any(one.purpose == "acting" for one in streams):
-            seeking.open_stream(board, address, "acting")
-
-    def _become_acting(self, slot: int, zone: str, board: InstanceBoard) -> None:
-        rights = board.rights
-        rights.role = Role.ACTING
-        rights.target = LOCAL
-        rights.base_token = rights.known_revision * TOKENS_PER_REVISION
-        rights.slot = slot
-        zones = {one.zone for one in board.pool.entries.values()}
-        for one in sorted(zones | {board.settings.zone}):
-            if zone in ("", one):
-                rights.rounds[one] = rights.rounds.get(one, 0) + 1
-        token = rights.token_for(board.settings.zone)
-        board.log("acting_scheduler", "WARNING", zone=zone, token=token)
-        board.count("acting_rights_used")
-        self._followers.begin(board)
-        board.post(RightGained(rights.base_token, zone, acting=True))
-        board.post(TargetChanged(LOCAL, acting=True))
-
-    def _leave_if_fenced(self, board: InstanceBoard) -> None:
-        """Stop acting once another scheduler has most of the runners."""
-        runners = board.pool.runners.values()
-        fenced = sum(view.fenced for view in runners)
-        if runners and fenced * 2 > len(runners):
-            self._step_down("another scheduler has the runners", board)
-
-    # Streams
-
     def _take_opened(self, stream_id: int, board: InstanceBoard) -> None:
         stream = board.rights.streams.get(stream_id)
         if stream is None:
@@ -695,47 +313,6 @@
         )
         board.emit(SendMessage(stream.stream_id, reply))
 
-    def _take_heard(self, message: HeardReply, board: InstanceBoard) -> None:
-        """Take the answer to a question about the scheduler."""
-        search = self._search
-        rights = board.rights
-        if search is None:
-            return
-        if message.revision > rights.known_revision and message.holder_address:
-            rights.record = RightRecord(
-                message.holder, "", message.holder_address, message.revision
-            )
-            rights.known_revision = message.revision
-            rights.record_absent = False
-            board.log(
-                "right_heard_of", holder=message.holder, revision=message.revision
-            )
-            search.turn_to_new_holder()
-            self._close_target_streams(board)
-        search.replies[message.name] = (message, board.now)
-        self._step_search(board)
-
-    # Planned stop
-
-    def _begin_stop(self, board: InstanceBoard) -> None:
-        if board.rights.role is Role.SCHEDULING:
-            self._promote_successor(board)
-
-    def _promote_successor(self, board: InstanceBoard) -> None:
-        rights = board.rights
-        if rights.role is not Role.SCHEDULING or not board.stopping.requested:
-            return
-        self._ask_successor(board)
-        board.set_timer(PROMOTE_TIMER, PROMOTE_RETRY_MS)
-
-    def _ask_successor(self, board: InstanceBoard) -> None:
-        successor = self._followers.successor(board)
-        if successor is None:
-            return
-        board.log("successor_asked", instance=successor.name)
-        promote = Promote(board.rights.known_revision)
-        board.emit(SendMessage(successor.stream_id, promote))
-
     def _take_promotion(
         self, stream: StreamState, message: Promote, board: InstanceBoard
     ) -> None:
@@ -766,8 +343,6 @@
         elif stream.stream_id == rights.target:
             self._lose_target("it has handed over", False, board)
 
-    # Readiness
-
     def _update_readiness(self, board: InstanceBoard) -> None:
         ready = (
             board.configuration.current.version > 0
--- /dev/null
+++ b/sassafrasloft/leadership/roles.py
@@ -0,0 +1,238 @@
+"""What an instance does as it gains, keeps, passes on or loses the right."""
+
+from sassafrasloft.blackboard import Controller
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.commands import CallStore, CloseStream, SendMessage
+from sassafrasloft.instance.events import (
+    FollowerLost,
+    RightGained,
+    RightLost,
+    TargetChanged,
+    TargetLost,
+)
+from sassafrasloft.instance.messages import (
+    Handover,
+    NotScheduling,
+    Promote,
+    SchedulerMoved,
+)
+from sassafrasloft.leadership import seeking
+from sassafrasloft.leadership.followers import Followers, handover
+from sassafrasloft.leadership.seeking import Search
+from sassafrasloft.leadership.state import TOKENS_PER_REVISION, RightRecord, Role
+from sassafrasloft.metadata import KeepLease, LeaseGranted, StoreFailure, StoreReply
+
+BEAT_TIMER = "leadership.beat"
+KEEP_TIMER = "leadership.keep"
+SEARCH_TIMER = "leadership.search"
+PROMOTE_TIMER = "leadership.promote"
+SEEDS_TIMER = "leadership.seeds"
+PROMOTE_RETRY_MS = 400
+"""A successor claims the right within two calls of the store, in milliseconds."""
+SLOW_RETRY_MS = 2_000
+"""Before a slow scheduler asks another successor, in milliseconds."""
+LOCAL = 0
+NONE = -1
+
+
+class RightHolder(Controller):
+    """The roles of an instance and the changes between them."""
+
+    def __init__(self) -> None:
+        self._followers = Followers()
+        self._search: Search | None = None
+        self._keep_call = 0
+        self._ready = False
+        self._beat_at = 0
+        self._lateness = 0.0
+        """How late beats are, in milliseconds, smoothed."""
+        self._handed_on_at = 0
+        self._handover: Handover | None = None
+        """What this instance knew as it ceased to schedule; for the next one."""
+
+    def _become_scheduler(self, record: RightRecord, board: InstanceBoard) -> None:
+        rights = board.rights
+        if board.stopping.requested and rights.role is not Role.SCHEDULING:
+            return
+        again = rights.role is Role.SCHEDULING
+        self._search = None
+        rights.record = record
+        rights.record_absent = False
+        rights.known_revision = record.revision
+        rights.base_token = record.revision * TOKENS_PER_REVISION
+        rights.rounds.clear()
+        rights.slot = 0
+        old_target = rights.target
+        rights.role = Role.SCHEDULING
+        rights.target = LOCAL
+        board.set_timer(KEEP_TIMER, board.tuning.right_renewal_ms)
+        board.log("right_won", revision=record.revision, token=rights.base_token)
+        board.count("rights_won")
+        if again:
+            board.post(RightGained(rights.base_token, ""))
+            return
+        self._announce_to(old_target, record, board)
+        self._followers.begin(board)
+        board.post(RightGained(rights.base_token, ""))
+        board.post(TargetChanged(LOCAL))
+
+    def _announce_to(
+        self, stream_id: int, record: RightRecord, board: InstanceBoard
+    ) -> None:
+        """Tell the scheduler that promoted this instance."""
+        if stream_id > 0:
+            moved = SchedulerMoved(record.name, record.peers_address, record.revision)
+            board.emit(SendMessage(stream_id, moved))
+
+    def _step_down(self, reason: str, board: InstanceBoard) -> None:
+        board.log("right_lost", "WARNING", reason=reason)
+        board.count("rights_lost")
+        self._leave_role(reason, board)
+        self._begin_search("", board)
+
+    def _leave_role(self, reason: str, board: InstanceBoard) -> None:
+        """Stop scheduling and send followers away."""
+        rights = board.rights
+        self._handover = handover(board)
+        record = rights.record
+        for stream in self._followers.connected(board):
+            if record is not None and record.name != board.settings.name:
+                moved = SchedulerMoved(
+                    record.name, record.peers_address, record.revision
+                )
+            else:
+                moved = NotScheduling(board.settings.name, rights.known_revision)
+            board.emit(SendMessage(stream.stream_id, moved))
+            stream.follower = False
+            board.post(FollowerLost(stream.stream_id, False))
+        board.post(RightLost(reason))
+        rights.role = Role.SEEKING
+        rights.target = NONE
+        rights.lease_id = 0
+        board.post(TargetLost(silent=False))
+
+    def _lose_target(self, reason: str, silent: bool, board: InstanceBoard) -> None:
+        rights = board.rights
+        board.log(
+            "scheduler_lost",
+            "WARNING",
+            reason=reason,
+            heard_ms_ago=board.now - rights.target_heard_at,
+            revision=rights.known_revision,
+        )
+        board.count("schedulers_lost")
+        stream = rights.streams.pop(rights.target, None)
+        if stream is not None:
+            board.emit(CloseStream(stream.stream_id))
+        rights.role = Role.SEEKING
+        rights.target = NONE
+        board.post(TargetLost(silent))
+        self._begin_search("", board)
+
+    def _become_acting(self, slot: int, zone: str, board: InstanceBoard) -> None:
+        rights = board.rights
+        rights.role = Role.ACTING
+        rights.target = LOCAL
+        rights.base_token = rights.known_revision * TOKENS_PER_REVISION
+        rights.slot = slot
+        zones = {one.zone for one in board.pool.entries.values()}
+        for one in sorted(zones | {board.settings.zone}):
+            if zone in ("", one):
+                rights.rounds[one] = rights.rounds.get(one, 0) + 1
+        token = rights.token_for(board.settings.zone)
+        board.log("acting_scheduler", "WARNING", zone=zone, token=token)
+        board.count("acting_rights_used")
+        self._followers.begin(board)
+        board.post(RightGained(rights.base_token, zone, acting=True))
+        board.post(TargetChanged(LOCAL, acting=True))
+
+    def _leave_if_fenced(self, board: InstanceBoard) -> None:
+        """Stop acting once another scheduler has most of the runners."""
+        runners = board.pool.runners.values()
+        fenced = sum(view.fenced for view in runners)
+        if runners and fenced * 2 > len(runners):
+            self._step_down("another scheduler has the runners", board)
+
+    def _keep_right(self, board: InstanceBoard) -> None:
+        rights = board.rights
+        if rights.role is not Role.SCHEDULING:
+            return
+        board.set_timer(KEEP_TIMER, board.tuning.right_renewal_ms)
+        unconfirmed = board.now - rights.lease_confirmed_at
+        expired = unconfirmed > board.tuning.right_lease_ms
+        if expired and not self._followers.has_quorum(board):
+            self._step_down("neither the store nor most instances answer", board)
+            # The others have been missing for longer than that already.
+            self._search.since -= board.tuning.acting_delay_ms
+            return
+        if not self._keep_call and rights.lease_id:
+            self._keep_call = board.fresh_id()
+            operation = KeepLease(rights.lease_id)
+            timeout = board.tuning.store_timeout_ms
+            board.emit(CallStore(self._keep_call, operation, timeout))
+
+    def _take_kept(self, reply: StoreReply, board: InstanceBoard) -> None:
+        if isinstance(reply, LeaseGranted):
+            board.rights.lease_confirmed_at = board.now
+        elif isinstance(reply, StoreFailure) and reply.no_such_lease:
+            board.rights.lease_id = 0
+
+    def _claim_again(self, board: InstanceBoard) -> None:
+        """Take the right again after its lease ended; scheduling goes on."""
+        if self._search is None:
+            self._search = Search(board.now, "own right lapsed")
+        if not self._search.claim_call:
+            seeking.begin_claim(self._search, board)
+        board.set_timer(SEARCH_TIMER, seeking.STEP_MS)
+
+    def _measure_lateness(self, board: InstanceBoard) -> None:
+        """Hand over if this instance has too little processor to schedule.
+
+        Load pattern: a machine of the system turns slow.
+        """
+        tuning = board.tuning
+        late = max(0, board.now - self._beat_at - tuning.beat_ms)
+        self._beat_at = board.now
+        self._lateness += (late - self._lateness) / tuning.slow_beats
+        if not self.slow(board) or board.rights.role is not Role.SCHEDULING:
+            return
+        if board.now - self._handed_on_at > SLOW_RETRY_MS:
+            self._handed_on_at = board.now
+            board.log("too_slow", "WARNING", beats_late_ms=round(self._lateness))
+            self._ask_successor(board)
+
+    def slow(self, board: InstanceBoard) -> bool:
+        """Return whether this instance's beats come too late."""
+        return self._lateness > board.tuning.slow_beat_ms
+
+    def _begin_stop(self, board: InstanceBoard) -> None:
+        if board.rights.role is Role.SCHEDULING:
+            self._promote_successor(board)
+
+    def _promote_successor(self, board: InstanceBoard) -> None:
+        rights = board.rights
+        if rights.role is not Role.SCHEDULING or not board.stopping.requested:
+            return
+        self._ask_successor(board)
+        board.set_timer(PROMOTE_TIMER, PROMOTE_RETRY_MS)
+
+    def _ask_successor(self, board: InstanceBoard) -> None:
+        successor = self._followers.successor(board)
+        if successor is None:
+            return
+        board.log("successor_asked", instance=successor.name)
+        promote = Promote(board.rights.known_revision)
+        board.emit(SendMessage(successor.stream_id, promote))
+
+    def _begin_search(self, evidence: str, board: InstanceBoard) -> None:
+        if self._search is None:
+            self._search = Search(board.now, evidence)
+        else:
+            search = self._search
+            search.connect_at = board.now
+            search.evidence = evidence
+        board.set_timer(SEARCH_TIMER, seeking.STEP_MS)
+        self._step_search(board)
+
+    def _step_search(self, board: InstanceBoard) -> None:
+        """Go on with the search; the search itself is in the subclass."""
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -1,13 +1,11 @@
-"""Takes jobs, places their tasks and answers."""
+"""Places waiting tasks, and learns what became of their runs."""
 
-from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.blackboard import Event
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
-from sassafrasloft.instance.commands import SendMessage
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
     FollowerLost,
-    GatewayMessage,
     RightGained,
     RightLost,
     RunAccepted,
@@ -18,25 +16,14 @@
     TaskPlaced,
     TimerFired,
 )
-from sassafrasloft.instance.messages import (
-    CancelJob,
-    Handover,
-    JobAnswer,
-    JobProgress,
-    JobState,
-    Message,
-    NotScheduling,
-    QueryJob,
-    QueryQueue,
-    QueueState,
-    SubmitJob,
-)
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import Run, RunEnd, RunState
-from sassafrasloft.scheduling.admission import (
-    ADMISSIONS,
-    Refusal,
-    retry_after_s,
+from sassafrasloft.scheduling.admission import Refusal, retry_after_s
+from sassafrasloft.scheduling.job_keeping import (
+    PRUNE_MS,
+    PRUNE_TIMER,
+    WAIT_TIMER,
+    JobKeeper,
 )
 from sassafrasloft.scheduling.jobs import (
     JobOutcome,
@@ -48,16 +35,9 @@
 from sassafrasloft.scheduling.placement import PLACEMENTS, SLOW, Candidate, candidates
 from sassafrasloft.scheduling.stragglers import worth_moving
 
-WAIT_TIMER = "scheduling.wait"
-PRUNE_TIMER = "scheduling.prune"
-PRUNE_MS = 1_000
-"""Period of forgetting old answers, in milliseconds."""
-LOCAL = 0
-"""The stream id that stands for this instance's own callers."""
-
 
 @CONTROLLERS.register("scheduling", order=50)
-class SchedulingController(Controller):
+class SchedulingController(JobKeeper):
     """Owns `board.jobs`.
 
     Parameters
@@ -83,9 +63,9 @@
         placement: str = "best_fit",
         admission: str = "while_in_time",
     ) -> None:
+        super().__init__(admission)
         self._order = ORDERS.create(order)
         self._placement = PLACEMENTS.create(placement)
-        self._admission = ADMISSIONS.create(admission)
         self._wait_timer_at = -1
 
     def react(self, event: Event, board: InstanceBoard) -> None:
@@ -123,278 +103,6 @@
         board.pool.changed = False
         self._place_all(board)
 
-    # Messages
-
-    def _take_message(
-        self, stream_id: int, message: Message, board: InstanceBoard
-    ) -> None:
-        if isinstance(message, Handover):
-            self._take_handover(message, board)
-            return
-        if not board.pool.active:
-            revision = board.rights.known_revision
-            reply = NotScheduling(board.settings.name, revision)
-            self._send(stream_id, reply, board)
-        elif isinstance(message, SubmitJob):
-            self._submit(stream_id, message, board)
-        elif isinstance(message, CancelJob):
-            self._cancel(stream_id, message, board)
-        elif isinstance(message, QueryJob):
-            state = self._state_of(message.job_id, board)
-            self._send(stream_id, JobState(message.job_id, state), board)
-        elif isinstance(message, QueryQueue):
-            pending = sum(
-                not job.offered and job.route.name == message.route
-                for job in board.jobs.open.values()
-            )
-            self._send(stream_id, QueueState(message.route, pending), board)
-
-    def _take_handover(self, message: Handover, board: InstanceBoard) -> None:
-        """Take what another scheduler knew; its jobs may be here already."""
-        if not message.acting:
-            board.jobs.predecessor_known = True
-        for progress in message.jobs:
-            job = board.jobs.open.get(progress.job_id)
-            if job is None:
-                board.jobs.inherited[progress.job_id] = progress
-            else:
-                self._take_progress(job, progress, board)
-        board.jobs.changed = True
-
-    def _send(self, stream_id: int, message: Message, board: InstanceBoard) -> None:
-        if stream_id == LOCAL:
-            board.post(GatewayMessage(message))
-        else:
-            board.emit(SendMessage(stream_id, message))
-
-    def _state_of(self, job_id: str, board: InstanceBoard) -> str:
-        job = board.jobs.open.get(job_id)
-        if job is not None:
-            return "running" if job.offered else "queued"
-        known = board.jobs.answers.get(job_id)
-        return known[0].value if known else ""
-
-    # Jobs
-
-    def _submit(self, stream_id: int, message: SubmitJob, board: InstanceBoard) -> None:
-        job_id = message.job.job_id
-        known = board.jobs.open.get(job_id)
-        if known is not None:
-            known.followers.add(stream_id)
-            known.note(board.now, "handed_in_again")
-            return
-        kept = board.jobs.answers.get(job_id)
-        if kept is not None and kept[0] in (JobOutcome.COMPLETED, JobOutcome.FAILED):
-            self._send(stream_id, JobAnswer(job_id, kept[0].value, "kept"), board)
-            return
-        route = board.configuration.route_named(message.route)
-        if route is None:
-            answer = JobAnswer(job_id, JobOutcome.NO_SUCH_ROUTE.value, message.route)
-            self._send(stream_id, answer, board)
-            return
-        self._admit(stream_id, message, route, board)
-
-    def _admit(
-        self, stream_id: int, message: SubmitJob, route: object, board: InstanceBoard
-    ) -> None:
-        job = self._create_job(message, route, board)
-        job.followers.add(stream_id)
-        board.jobs.open[job.job_id] = job
-        board.jobs.changed = True
-        board.count("jobs_taken")
-        self._inherit(job, message.settle_ms, board)
-        refusal = None
-        if not job.offered and not job.resubmitted:
-            refusal = self._admission.on_arrival(job, board)
-        if refusal is not None:
-            self._refuse(job, refusal, board)
-
-    def _create_job(
-        self, message: SubmitJob, route: object, board: InstanceBoard
-    ) -> ScheduledJob:
-        chain = board.estimates.expect(route.name, message.job.chain_ms())
-        job = ScheduledJob(
-            message.job,
-            route,
-            board.now - message.age_ms,
-            board.now + message.remaining_ms,
-            route.objective_ms(chain),
-            chain,
-            board.now,
-            resubmitted=message.resubmitted,
-        )
-        job.create_tasks()
-        job.note(
-            board.now,
-            "admitted",
-            f"route={route.name} version={board.configuration.current.version} "
-            f"age_ms={message.age_ms} tasks={len(job.tasks)} "
-            f"objective_ms={job.objective_ms:.0f} resubmitted={message.resubmitted}",
-        )
-        return job
-
-    def _inherit(
-        self, job: ScheduledJob, settle_ms: Milliseconds, board: InstanceBoard
-    ) -> None:
-        """Go on from what an earlier scheduler did for the job."""
-        progress = board.jobs.inherited.pop(job.job_id, None)
-        if progress is None:
-            for task in job.tasks.values():
-                task.not_before = board.now + settle_ms
-        else:
-            self._take_progress(job, progress, board)
-            if job.job_id not in board.jobs.open:
-                return
-        for task in list(job.waiting):
-            self._adopt_if_running(job, task, board)
-
-    def _take_progress(
-        self, job: ScheduledJob, progress: JobProgress, board: InstanceBoard
-    ) -> None:
-        settle = board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
-        for name in progress.running:
-            if name in job.tasks:
-                job.tasks[name].not_before = board.now + settle
-        for name in progress.done:
-            task = job.tasks.get(name)
-            if task is not None and task.state is TaskState.WAITING:
-                job.offered = True
-                job.started = True
-                if job.finish_task(task):
-                    self._end(job, JobOutcome.COMPLETED, "inherited", board)
-                    return
-
-    def _adopt_if_running(
-        self, job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
-    ) -> None:
-        """Take over a run of an earlier scheduler unless it is being stopped."""
-        orphan = board.pool.orphans.get(task.name)
-        if orphan is not None and orphan.state is not RunState.STOPPING:
-            self._adopt(job, task, board)
-
-    def _adopt(
-        self, job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
-    ) -> None:
-        step = job.request.steps[task.step]
-        expected = board.estimates.expect(job.route.name, step.estimate_ms)
-        run = board.pool.adopt(task.name, step.demand, expected)
-        task.run = run
-        task.starts = max(task.starts, run.number)
-        task.state = TaskState.PLACED
-        job.waiting.remove(task)
-        job.offered = True
-        job.started = True
-        board.count("runs_adopted")
-        job.note(board.now, "adopted", f"{task.name} on {run.runner_id}")
-
-    def _cancel(self, stream_id: int, message: CancelJob, board: InstanceBoard) -> None:
-        job = board.jobs.open.get(message.job_id)
-        state = self._state_of(message.job_id, board)
-        if job is not None:
-            job.followers.discard(stream_id)
-            if message.wants_answer or not job.followers:
-                self._end(job, JobOutcome.CANCELLED, "cancelled", board)
-                state = JobOutcome.CANCELLED.value
-        if message.wants_answer:
-            self._send(stream_id, JobState(message.job_id, state), board)
-
-    def _drop_follower(self, event: FollowerLost, board: InstanceBoard) -> None:
-        """Stop jobs of an instance that may have handed them to another scheduler.
-
-        If the instance's process is gone, its callers send their jobs again, and
-        find the work that was done meanwhile.
-        """
-        for job in list(board.jobs.open.values()):
-            if event.stream_id not in job.followers:
-                continue
-            job.followers.discard(event.stream_id)
-            if event.silent and not job.followers:
-                self._end(job, JobOutcome.CANCELLED, "its instance is silent", board)
-
-    def _refuse(
-        self, job: ScheduledJob, refusal: Refusal, board: InstanceBoard
-    ) -> None:
-        if job.resubmitted or job.started:
-            outcome = JobOutcome.MAY_HAVE_RUN
-        else:
-            outcome = JobOutcome.REFUSED
-            never_ran = not job.started and all(
-                task.run is None for task in job.tasks.values()
-            )
-            board.auditor.check(
-                InstanceInvariant.NOT_RUN_IS_TRUE,
-                never_ran,
-                f"job {job.job_id} has begun",
-            )
-        self._end(job, outcome, refusal.reason, board, refusal.retry_after_s)
-
-    def _end(
-        self,
-        job: ScheduledJob,
-        outcome: JobOutcome,
-        reason: str,
-        board: InstanceBoard,
-        retry_after_s: int = 0,
-    ) -> None:
-        del board.jobs.open[job.job_id]
-        board.jobs.answers[job.job_id] = (outcome, board.now)
-        board.jobs.changed = True
-        for task in job.tasks.values():
-            if task.run is not None:
-                board.post(StopTask(task.run))
-        job.note(board.now, outcome.value, reason)
-        answer = JobAnswer(job.job_id, outcome.value, reason, retry_after_s)
-        for stream_id in sorted(job.followers):
-            self._send(stream_id, answer, board)
-        self._record(job, outcome, reason, board)
-
-    def _record(
-        self,
-        job: ScheduledJob,
-        outcome: JobOutcome,
-        reason: str,
-        board: InstanceBoard,
-    ) -> None:
-        duration = board.now - job.arrived_at
-        board.count(f"jobs_{outcome.value}")
-        board.measure(f"job_{outcome.value}", duration)
-        failed = outcome is not JobOutcome.COMPLETED
-        late = duration > job.objective_ms
-        if failed or late:
-            for at, event, detail in job.trail:
-                board.log_request(
-                    f"job_{event}",
-                    failed=True,
-                    job=job.job_id,
-                    detail=detail,
-                    ago_ms=board.now - at,
-                )
-        board.log_request(
-            "job_ended",
-            failed=failed or late,
-            job=job.job_id,
-            route=job.route.name,
-            outcome=outcome.value,
-            reason=reason,
-            duration_ms=duration,
-            objective_ms=round(job.objective_ms),
-            starts=sum(task.starts for task in job.tasks.values()),
-        )
-
-    def _prune(self, board: InstanceBoard) -> None:
-        if not board.pool.active:
-            return
-        board.set_timer(PRUNE_TIMER, PRUNE_MS)
-        oldest = board.now - board.tuning.answer_retention_ms
-        for job_id, (_, at) in list(board.jobs.answers.items()):
-            if at > oldest:
-                break
-            del board.jobs.answers[job_id]
-        if board.now - board.pool.activated_at > board.tuning.answer_retention_ms:
-            board.jobs.inherited.clear()
-
-    # Runs
-
     def _job_and_task(
         self, run: Run, board: InstanceBoard
     ) -> tuple[ScheduledJob, ScheduledTask] | None:
@@ -464,8 +172,6 @@
             )
             board.post(StopTask(event.run))
 
-    # Placing
-
     def _place_all(self, board: InstanceBoard) -> None:
         waiting = [job for job in board.jobs.open.values() if job.waiting]
         if not waiting:
