--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 test: lint  ## Run formatter, linter and all tests.
 	$(RUN) -m pytest -n 4
+	cd platform && PYTHONHASHSEED=0 ../$(VENV)/bin/python -m pytest -n 2
 
 demo: $(VENV)/.installed  ## Show a whole service of real processes on loopback.
 	$(RUN) -m benchmarks.demo
