--- a/sassafrasloft/operators/telemetry_names.py
+++ b/sassafrasloft/operators/telemetry_names.py
@@ -13,6 +13,18 @@
 import sassafrasloft
 
 PACKAGE = Path(sassafrasloft.__file__).parent
+INSTANCE_PACKAGES = (
+    "event_loop",
+    "gateway",
+    "instance",
+    "leadership",
+    "metadata",
+    "runs",
+    "scheduling",
+)
+"""Packages of the instance on the users' platform; the others are of the entry
+instance."""
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 METRIC_CALLS = ("add", "sample", "set_counter", "set_gauge", "record")
 LOGGER_CALLS = ("info", "warning", "error", "exception")
 _PLACEHOLDER = re.compile(r"<[^>]*>")
@@ -42,11 +54,19 @@
     return _PLACEHOLDER.sub("<>", name)
 
 
-def names_in_code(root: Path = PACKAGE) -> TelemetryNames:
-    """Return the names in all modules of the package except tests."""
+def names_in_code(root: Path = PACKAGE, of_instances: bool = False) -> TelemetryNames:
+    """Return the names in all modules of one program except tests.
+
+    Parameters
+    ----------
+    root : Path
+    of_instances : bool
+        Whether of the instance on the users' platform, not of the entry instance.
+    """
     names = TelemetryNames()
     for path in sorted(root.rglob("*.py")):
-        if "tests" not in path.relative_to(root).parts:
+        parts = path.relative_to(root).parts
+        if "tests" not in parts and (parts[0] in INSTANCE_PACKAGES) is of_instances:
             _read(ast.parse(path.read_text("utf-8")), names)
     return names
 
@@ -58,14 +78,32 @@
             continue
         owner = ast.unparse(call.func.value)
         method = call.func.attr
-        if owner.endswith("metrics") and method in METRIC_CALLS:
+        if _is_metric_call(owner, method):
             names.metrics.update(_texts(call.args[0], choices))
-        elif owner in ("board", "self") and method == "log":
+        elif owner == "self._log" and method == "write":
             names.events.update(_texts(call.args[1], choices))
+        elif owner in ("board", "self") and method in ("log", "log_request"):
+            names.events.update(_texts(_event_of(call), choices))
         elif owner == "_LOGGER" and method in LOGGER_CALLS:
             names.messages.update(_texts(call.args[0], choices))
 
 
+def _is_metric_call(owner: str, method: str) -> bool:
+    if owner == "board":
+        return method in ("count", "measure")
+    of_registry = owner.endswith("metrics") or owner == "registry"
+    return of_registry and method in METRIC_CALLS
+
+
+def _event_of(call: ast.Call) -> ast.expr:
+    """Return the event of a log call, which may have the level before it."""
+    first = call.args[0]
+    is_event = isinstance(first, ast.JoinedStr) or (
+        isinstance(first, ast.Constant) and first.value not in LEVELS
+    )
+    return first if is_event else call.args[1]
+
+
 def _choices(tree: ast.Module) -> dict[str, list[ast.expr]]:
     """Return the texts that a variable gets, by assignment or by a loop."""
     found: dict[str, list[ast.expr]] = {}
--- a/sassafrasloft/operators/tests/test_docs.py
+++ b/sassafrasloft/operators/tests/test_docs.py
@@ -53,6 +53,9 @@
         ("Metrics", "metrics", {"metrics_series_dropped"}),
         ("Log events", "events", set()),
         ("Messages of the process", "messages", set()),
+        ("Metrics of instances", "metrics", set()),
+        ("Log events of instances", "events", set()),
+        ("Messages of instances", "messages", set()),
     ],
 )
 def test_observability_lists_what_the_code_writes(section, kind, elsewhere):
@@ -61,7 +64,8 @@
     rows = text.split(f"\n## {section}\n")[1].split("\n## ")[0]
     listed = [normal_name(name) for name in _ROW.findall(rows)]
     assert len(listed) == len(set(listed))
-    assert set(listed) == getattr(names_in_code(), kind) | elsewhere
+    in_code = names_in_code(of_instances=section.endswith("of instances"))
+    assert set(listed) == getattr(in_code, kind) | elsewhere
 
 
 def test_benchmarks_page_lists_every_command():
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -317,6 +317,8 @@
         task.state = TaskState.PLACED
         task.run = run
         job.offered = True
+        if job.first_start_at < 0:
+            job.first_start_at = board.now
         job.note(
             board.now,
             "placed",
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -279,6 +279,11 @@
         duration = board.now - job.arrived_at
         board.count(f"jobs_{outcome.value}")
         board.measure(f"job_{outcome.value}", duration)
+        if job.first_start_at >= 0:
+            waited = job.first_start_at - job.arrived_at
+            board.measure(f"waiting_priority_{job.priority}", waited)
+            ran = board.now - job.first_start_at
+            board.measure(f"running_priority_{job.priority}", ran)
         failed = outcome is not JobOutcome.COMPLETED
         late = duration > job.objective_ms
         if failed or late:
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -80,6 +80,7 @@
     """Whether a start of a task was sent to a runner."""
     started: bool = False
     """Whether a runner has accepted a start, or may have."""
+    first_start_at: Milliseconds = -1
     resubmitted: bool = False
     trail: list[tuple[Milliseconds, str, str]] = attrs.field(factory=list)
 
