--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -83,6 +83,8 @@
     acting_delay_ms: Milliseconds = 450
     """Without any scheduler for this long an instance acts as one: a connection
     that is not made, a vote and a call of the store take about this."""
+    fenced_ms: Milliseconds = 3_000
+    """An acting scheduler that is alive gives its runners back within this."""
     absence_ms: Milliseconds = 10_000
     """After this an instance no longer counts towards a majority."""
     slow_beat_ms: Milliseconds = 40
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -110,6 +110,7 @@
         rights = board.rights
         if rights.role is Role.SCHEDULING:
             self._expire(board)
+            self._take_back_fenced(board)
         roster = rights.roster if self._roster_changed else None
         self._roster_changed = False
         for stream in list(rights.streams.values()):
@@ -121,6 +122,22 @@
             else:
                 board.emit(SendMessage(stream.stream_id, Beat(roster)))
 
+    def _take_back_fenced(self, board: InstanceBoard) -> None:
+        """Take back the runners of an acting scheduler that has died."""
+        if not self.has_quorum(board):
+            return
+        rights = board.rights
+        latest = board.now - board.tuning.fenced_ms
+        zones = {
+            view.entry.zone
+            for view in board.pool.runners.values()
+            if view.fenced and view.fenced_at <= latest
+        }
+        for zone in sorted(zones):
+            rights.rounds[zone] = rights.rounds.get(zone, 0) + 1
+            board.log("zone_taken_back", zone=zone, round=rights.rounds[zone])
+            board.post(ZoneReturned(zone, rights.rounds[zone]))
+
     def _expire(self, board: InstanceBoard) -> None:
         present = {one.name for one in board.rights.streams.values() if one.follower}
         present.add(board.settings.name)
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -219,6 +219,7 @@
     def _note_fence(self, view: RunnerView, board: InstanceBoard) -> None:
         if not view.fenced:
             view.fenced = True
+            view.fenced_at = board.now
             board.log("runner_fenced", "WARNING", runner=view.runner_id)
 
     def _note_restart(self, view: RunnerView, board: InstanceBoard) -> None:
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -98,6 +98,7 @@
     """When a look was last sent."""
     clock_read_at: Milliseconds = 0
     fenced: bool = False
+    fenced_at: Milliseconds = 0
     missing_since: Milliseconds = -1
     unusable_until: Milliseconds = 0
     failing_jobs: set[str] = attrs.field(factory=set)
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -174,6 +174,28 @@
         world.run(5_000)
 
 
+def test_runners_of_an_acting_scheduler_that_died_are_taken_back():
+    """Guards against runners that stay fenced: nobody tells of the tokens used."""
+    world = settled_world({"north": 3, "south": 2, "west": 1}, runners=2)
+    scheduler = scheduler_of(world)
+    zone = world.instances[scheduler].zone
+    cut_off = next(one for one in ("south", "west") if one != zone)
+    cut_zone(world, cut_off, True)
+    world.run(1_500)
+    acting = [
+        one
+        for one, it in world.instances.items()
+        if it.core.board.rights.role is Role.ACTING
+    ]
+    assert acting
+    for name in acting:
+        world.power_off(name)
+    world.cut = lambda one, other: False
+    world.run(8_000)
+    board = world.instances[scheduler_of(world)].core.board
+    assert not any(view.fenced for view in board.pool.runners.values())
+
+
 def test_a_run_that_cannot_be_stopped_blocks_its_task():
     """Guards against a second run while the stop of an unknown run is unanswered."""
     for seed in range(20):
