--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -22,6 +22,7 @@
 from sassafrasloft.scheduling.job_keeping import (
     PRUNE_MS,
     PRUNE_TIMER,
+    UNFOLLOWED_TIMER,
     WAIT_TIMER,
     JobKeeper,
 )
@@ -84,6 +85,8 @@
                 board.jobs.changed = True
             elif event.name == PRUNE_TIMER:
                 self._prune(board)
+            elif event.name == UNFOLLOWED_TIMER:
+                self._end_unfollowed(board)
         elif isinstance(event, FollowerLost):
             self._drop_follower(event, board)
         elif isinstance(event, RightLost):
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -30,6 +30,9 @@
 
 WAIT_TIMER = "scheduling.wait"
 PRUNE_TIMER = "scheduling.prune"
+UNFOLLOWED_TIMER = "scheduling.unfollowed"
+CHECK_MS = 50
+"""Period of the check for jobs that nobody waits for, in milliseconds."""
 PRUNE_MS = 1_000
 """Period of forgetting old answers, in milliseconds."""
 LOCAL = 0
@@ -222,15 +225,34 @@
     def _drop_follower(self, event: FollowerLost, board: InstanceBoard) -> None:
         """Stop jobs of an instance that may have handed them to another scheduler.
 
-        If the instance's process is gone, its callers send their jobs again, and
-        find the work that was done meanwhile.
+        A stream that was reset may be opened again at once; its end does not show
+        that the instance's process is gone.
         """
         for job in list(board.jobs.open.values()):
             if event.stream_id not in job.followers:
                 continue
             job.followers.discard(event.stream_id)
-            if event.silent and not job.followers:
+            if job.followers:
+                continue
+            if event.silent:
                 self._end(job, JobOutcome.CANCELLED, "its instance is silent", board)
+            else:
+                job.unfollowed_since = board.now
+                board.set_timer(UNFOLLOWED_TIMER, board.tuning.silence_ms)
+
+    def _end_unfollowed(self, board: InstanceBoard) -> None:
+        """Stop jobs that no instance has handed in again after its stream ended."""
+        latest = board.now - board.tuning.silence_ms
+        waiting = False
+        for job in list(board.jobs.open.values()):
+            if job.followers or job.unfollowed_since < 0:
+                continue
+            if job.unfollowed_since <= latest:
+                self._end(job, JobOutcome.CANCELLED, "its instance is gone", board)
+            else:
+                waiting = True
+        if waiting:
+            board.set_timer(UNFOLLOWED_TIMER, CHECK_MS)
 
     def _refuse(
         self, job: ScheduledJob, refusal: Refusal, board: InstanceBoard
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -81,6 +81,8 @@
     started: bool = False
     """Whether a runner has accepted a start, or may have."""
     first_start_at: Milliseconds = -1
+    unfollowed_since: Milliseconds = -1
+    """When the last instance that waited for the answer was lost."""
     resubmitted: bool = False
     trail: list[tuple[Milliseconds, str, str]] = attrs.field(factory=list)
 
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -154,6 +154,25 @@
         world.run(3_000)
 
 
+def test_a_cut_that_resets_streams_lets_no_job_run_on_both_sides():
+    """Guards against a reset stream that is taken for the end of a process.
+
+    The scheduler in the cut zone went on with jobs that their instances had handed
+    to its successor.
+    """
+    for seed in range(30):
+        world = settled_world(seed=seed, runners=3)
+        zone = world.instances[scheduler_of(world)].zone
+        outside = [one for one, it in world.instances.items() if it.zone != zone]
+        for number in range(8):
+            job = simple_job(number, 2, 14_000, 400 + 60 * seed)
+            world.submit(job, ORDER, outside[number % len(outside)], 4_000)
+        world.run(200)
+        cut_zone(world, zone, True)
+        world.reset_streams()
+        world.run(5_000)
+
+
 def test_an_acting_scheduler_keeps_no_runs_of_another_one():
     """Guards against leases that an acting scheduler prolongs.
 
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -269,6 +269,13 @@
         self.dark.add(name)
         self.instances[name].alive = False
 
+    def reset_streams(self) -> None:
+        """Reset the streams between instances that are cut off from each other."""
+        for instance in self.instances.values():
+            for stream_id, (other, _) in list(instance.streams.items()):
+                if self.cut(instance.name, other.name):
+                    self._close(instance, stream_id)
+
     def freeze(self, name: str) -> None:
         """Suspend a process; its events wait."""
         self.instances[name].frozen = True
