--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -1,7 +1,5 @@
 """What happens to an instance."""
 
-from typing import Any
-
 import attrs
 
 from sassafrasloft.blackboard import Event
@@ -269,7 +267,6 @@
     run: Run
     end: RunEnd | None
     reason: str
-    runner: Any = None
 
 
 @attrs.frozen
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -17,7 +17,6 @@
     TimerFired,
 )
 from sassafrasloft.invariants import InstanceInvariant
-from sassafrasloft.metadata.adoption import StoreDocuments
 from sassafrasloft.metadata.operations import (
     Item,
     ListedItems,
@@ -184,6 +183,3 @@
                     board.count("runner_entries_unreadable")
                     board.log("runner_entry_unreadable", key=item.key, reason=reason)
         board.post(RunnersListed(tuple(entries)))
-
-
-__all__ = ["MetadataController", "StoreDocuments"]
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -371,7 +371,7 @@
             del board.pool.live_runs[run.task]
         board.pool.orphans.pop(run.task, None)
         board.pool.changed = True
-        board.post(RunFinished(run, end, reason, view))
+        board.post(RunFinished(run, end, reason))
 
     # Periodic checks
 
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -101,7 +101,6 @@
     lease = lease_end(view, board) if board.pool.keeps_runs(view) else 0
     order = HoldRuns(token, lease, view.seen_end, wait_ms)
     timeout = wait_ms + tuning.hold_slack_ms
-    view.hold_sent_at = board.now
     view.hold_call = call_runner(view, "hold", order, None, board, calls, timeout)
 
 
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -93,7 +93,6 @@
     lease_until: Milliseconds = 0
     last_answer_at: Milliseconds = -1
     hold_call: int = 0
-    hold_sent_at: Milliseconds = 0
     tried_at: Milliseconds = -1_000_000
     """When a look was last sent."""
     clock_read_at: Milliseconds = 0
