--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -55,6 +55,8 @@
         if board.stopping.requested and rights.role is not Role.SCHEDULING:
             return
         again = rights.role is Role.SCHEDULING
+        search = self._search
+        rights.replaced_revision = search.claim_revision if search else 0
         self._search = None
         rights.record = record
         rights.record_absent = False
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -95,6 +95,8 @@
     record_absent: bool = False
     """Whether the store said that nobody has the right."""
     known_revision: int = 0
+    replaced_revision: int = 0
+    """Of the holder that this instance's claim replaced; 0 if there was none."""
     base_token: int = 0
     slot: int = 0
     rounds: dict[str, int] = attrs.field(factory=dict)
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -77,7 +77,9 @@
 
     def _take_handover(self, message: Handover, board: InstanceBoard) -> None:
         """Take what another scheduler knew; its jobs may be here already."""
-        if not message.acting:
+        # That of an earlier holder does not tell of the runs of the last one.
+        replaced = board.rights.replaced_revision
+        if not message.acting and 0 < replaced == message.revision:
             board.jobs.predecessor_known = True
         for progress in message.jobs:
             job = board.jobs.open.get(progress.job_id)
