--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -7,6 +7,7 @@
 from sassafrasloft.instance.commands import AnswerCaller, SendMessage
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
+    OWN_INSTANCE,
     CallerGone,
     GatewayMessage,
     JobRequested,
@@ -27,6 +28,7 @@
     QueueState,
     SubmitJob,
 )
+from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.scheduling import JobOutcome
 from sassafrasloft.workload import Route
 
@@ -34,7 +36,6 @@
 GIVE_UP_MS = 10
 """Period of the check for jobs that no scheduler takes, in milliseconds."""
 NO_TARGET = -1
-LOCAL = 0
 
 _KINDS = {
     JobOutcome.COMPLETED.value: AnswerKind.COMPLETED,
@@ -170,8 +171,8 @@
         self._send(message, board)
 
     def _send(self, message: Message, board: InstanceBoard) -> None:
-        if self._target == LOCAL:
-            board.post(SchedulerMessage(LOCAL, message))
+        if self._target == OWN_INSTANCE:
+            board.post(SchedulerMessage(OWN_INSTANCE, message))
         else:
             board.emit(SendMessage(self._target, message))
 
@@ -274,7 +275,12 @@
             duration_ms=duration,
         )
         for request_id in sorted(job.requests):
-            del board.requests.job_of[request_id]
+            asked_for = board.requests.job_of.pop(request_id, "")
+            board.auditor.check(
+                InstanceInvariant.ANSWER_REACHES_ITS_CALLER,
+                asked_for == job_id,
+                f"request {request_id} asked for {asked_for!r}, not {job_id}",
+            )
             self._answer(request_id, answer, board)
 
     # The scheduler
@@ -334,9 +340,7 @@
 
 def _longest_wait(job: OpenJob, board: InstanceBoard) -> float:
     """Return how long a job may wait for a scheduler before it is refused."""
-    tuning = board.tuning
-    objective = job.route.objective_ms(tuning.sure_work * job.job.chain_ms())
-    return tuning.wait_share * objective - tuning.wait_margin_ms
+    return board.tuning.sure_wait_ms(job.route, job.job.chain_ms())
 
 
 def _may_have_run(reason: str) -> CallerAnswer:
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -9,6 +9,9 @@
 from sassafrasloft.runs import Run, RunEnd, RunnerEntry, RunnerReply
 from sassafrasloft.workload import JobRequest, ServiceConfiguration
 
+OWN_INSTANCE = 0
+"""The stream id that stands for this instance itself."""
+
 # From the edges
 
 
--- a/sassafrasloft/instance/stopping.py
+++ b/sassafrasloft/instance/stopping.py
@@ -5,6 +5,7 @@
 from sassafrasloft.instance.commands import CloseCallers, ExitProcess
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import StopRequested, TimerFired
+from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.leadership import Role
 
 CHECK_TIMER = "stopping.check"
@@ -48,4 +49,9 @@
         scheduling = board.rights.role is Role.SCHEDULING and board.rights.roster[1:]
         if (idle and not scheduling) or elapsed >= tuning.longest_stop_ms:
             board.log("stopped", open_requests=board.requests.count, after_ms=elapsed)
+            board.auditor.check(
+                InstanceInvariant.PLANNED_STOP_CUTS_NOTHING,
+                idle,
+                f"{board.requests.count} requests have no answer",
+            )
             board.emit(ExitProcess())
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -3,6 +3,7 @@
 import attrs
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.workload import Route
 
 
 @attrs.frozen
@@ -110,6 +111,11 @@
     shortest_retry_after_s: int = 1
     """The header counts whole seconds."""
 
+    def sure_wait_ms(self, route: Route, work_ms: float) -> float:
+        """Return how long a job may wait at least, by the share of its objective."""
+        objective = route.objective_ms(self.sure_work * work_ms)
+        return max(0.0, self.wait_share * objective - self.wait_margin_ms)
+
     # Stopping
     ready_before_exit_ms: Milliseconds = 2_500
     """The balancer needs two missed checks, one a second."""
--- a/sassafrasloft/invariants/registry.py
+++ b/sassafrasloft/invariants/registry.py
@@ -19,10 +19,15 @@
 class InstanceInvariant(StrEnum):
     """Promises of an instance that shares runners by one scheduler at a time."""
 
-    NOT_RUN_IS_TRUE = "not_run_is_true"
+    STARTS_AT_MOST_ONCE = "starts_at_most_once"
+    """No start of a task that has ended as done, or that does not wait."""
     ONE_RUN_AT_A_TIME = "one_run_at_a_time"
-    CONFIGURATION_NEVER_REVERTS = "configuration_never_reverts"
+    ANSWERS_ARE_WHOLE = "answers_are_whole"
+    ANSWER_REACHES_ITS_CALLER = "answer_reaches_its_caller"
+    NOT_RUN_IS_TRUE = "not_run_is_true"
     LEAVING_GETS_NO_WORK = "leaving_gets_no_work"
+    PLANNED_STOP_CUTS_NOTHING = "planned_stop_cuts_nothing"
+    CONFIGURATION_NEVER_REVERTS = "configuration_never_reverts"
 
 
 def invariants() -> tuple[Invariant, ...]:
--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -4,6 +4,7 @@
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CallStore, CloseStream, SendMessage
 from sassafrasloft.instance.events import (
+    OWN_INSTANCE,
     FollowerLost,
     RightGained,
     RightLost,
@@ -31,7 +32,6 @@
 """A successor claims the right within two calls of the store, in milliseconds."""
 SLOW_RETRY_MS = 2_000
 """Before a slow scheduler asks another successor, in milliseconds."""
-LOCAL = 0
 NONE = -1
 
 
@@ -66,7 +66,7 @@
         rights.slot = 0
         old_target = rights.target
         rights.role = Role.SCHEDULING
-        rights.target = LOCAL
+        rights.target = OWN_INSTANCE
         board.set_timer(KEEP_TIMER, board.tuning.right_renewal_ms)
         board.log("right_won", revision=record.revision, token=rights.base_token)
         board.count("rights_won")
@@ -76,7 +76,7 @@
         self._announce_to(old_target, record, board)
         self._followers.begin(board)
         board.post(RightGained(rights.base_token, ""))
-        board.post(TargetChanged(LOCAL))
+        board.post(TargetChanged(OWN_INSTANCE))
 
     def _announce_to(
         self, stream_id: int, record: RightRecord, board: InstanceBoard
@@ -134,7 +134,7 @@
     def _become_acting(self, slot: int, zone: str, board: InstanceBoard) -> None:
         rights = board.rights
         rights.role = Role.ACTING
-        rights.target = LOCAL
+        rights.target = OWN_INSTANCE
         rights.base_token = rights.known_revision * TOKENS_PER_REVISION
         rights.slot = slot
         zones = {one.zone for one in board.pool.entries.values()}
@@ -146,7 +146,7 @@
         board.count("acting_rights_used")
         self._followers.begin(board)
         board.post(RightGained(rights.base_token, zone, acting=True))
-        board.post(TargetChanged(LOCAL, acting=True))
+        board.post(TargetChanged(OWN_INSTANCE, acting=True))
 
     def _leave_if_fenced(self, board: InstanceBoard) -> None:
         """Stop acting once another scheduler has most of the runners."""
--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -67,10 +67,7 @@
 
     def latest_start(self, job: ScheduledJob, board: InstanceBoard) -> float:
         """Return the end of the share of an objective that is surely allowed."""
-        tuning = board.tuning
-        objective = job.route.objective_ms(tuning.sure_work * job.work_ms)
-        share = tuning.wait_share * objective - tuning.wait_margin_ms
-        return job.arrived_at + max(0.0, share)
+        return job.arrived_at + board.tuning.sure_wait_ms(job.route, job.work_ms)
 
 
 @ADMISSIONS.register("while_in_time")
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -305,6 +305,11 @@
             RunState.STARTING,
             board.now,
         )
+        board.auditor.check(
+            InstanceInvariant.STARTS_AT_MOST_ONCE,
+            task.state is TaskState.WAITING,
+            f"task {task.name} is {task.state.value}",
+        )
         board.auditor.check(
             InstanceInvariant.ONE_RUN_AT_A_TIME,
             task.name not in board.pool.live_runs,
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -4,7 +4,12 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import SendMessage
-from sassafrasloft.instance.events import FollowerLost, GatewayMessage, StopTask
+from sassafrasloft.instance.events import (
+    OWN_INSTANCE,
+    FollowerLost,
+    GatewayMessage,
+    StopTask,
+)
 from sassafrasloft.instance.messages import (
     CancelJob,
     Handover,
@@ -35,8 +40,6 @@
 """Period of the check for jobs that nobody waits for, in milliseconds."""
 PRUNE_MS = 1_000
 """Period of forgetting old answers, in milliseconds."""
-LOCAL = 0
-"""The stream id that stands for this instance's own callers."""
 
 
 class JobKeeper(Controller):
@@ -90,7 +93,7 @@
         board.jobs.changed = True
 
     def _send(self, stream_id: int, message: Message, board: InstanceBoard) -> None:
-        if stream_id == LOCAL:
+        if stream_id == OWN_INSTANCE:
             board.post(GatewayMessage(message))
         else:
             board.emit(SendMessage(stream_id, message))
@@ -281,6 +284,12 @@
         board: InstanceBoard,
         retry_after_s: int = 0,
     ) -> None:
+        board.auditor.check(
+            InstanceInvariant.ANSWERS_ARE_WHOLE,
+            outcome is not JobOutcome.COMPLETED
+            or all(task.state is TaskState.DONE for task in job.tasks.values()),
+            f"job {job.job_id} is said to be complete",
+        )
         del board.jobs.open[job.job_id]
         board.jobs.answers[job.job_id] = (outcome, board.now)
         board.jobs.changed = True
--- a/sassafrasloft/scheduling/stragglers.py
+++ b/sassafrasloft/scheduling/stragglers.py
@@ -11,8 +11,6 @@
 """Of one task by moving; more would only spread the load."""
 GAIN_FACTOR = 1.3
 """A new run must be expected to end this much sooner than the old one."""
-STOP_MS = 60
-"""A runner takes up to 50 to stop a run, and the order has to travel."""
 
 
 def worth_moving(
@@ -21,7 +19,7 @@
     """Return whether a new run would end sooner, and before the caller leaves."""
     if task.starts >= MOST_STARTS:
         return False
-    again = _expected_again_ms(overdue) + STOP_MS
+    again = _expected_again_ms(overdue) + board.tuning.stop_ms
     if overdue.remaining_ms < GAIN_FACTOR * again:
         return False
     if board.now + again > job.deadline_at:
--- a/sassafrasloft/testing/fleet/tests/test_invariants_fire.py
+++ b/sassafrasloft/testing/fleet/tests/test_invariants_fire.py
@@ -4,14 +4,18 @@
 import pytest
 
 from sassafrasloft.errors import InvariantViolated
+from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.metadata.adoption import ConfigurationState
 from sassafrasloft.runs import RunnerPool
+from sassafrasloft.scheduling import ScheduledJob
 from sassafrasloft.scheduling.controller import SchedulingController
+from sassafrasloft.scheduling.placement import Candidate
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin
 from sassafrasloft.testing.fleet import PromiseBroken
 from sassafrasloft.testing.fleet.tests.situations import (
     LOOKUP,
+    ORDER,
     ROUTES,
     others,
     scheduler_of,
@@ -19,6 +23,7 @@
     submit_lookup,
     submit_order,
 )
+from sassafrasloft.testing.fleet.world import simple_job
 
 
 def adopt_anything(self, configuration, now):
@@ -86,6 +91,59 @@
         controller._place_all(board)
 
 
+def test_a_start_after_an_end_is_noticed():
+    world = settled_world()
+    board = world.instances[scheduler_of(world)].core.board
+    submit_order(world, 1, scheduler_of(world))
+    world.run(50)
+    job = next(iter(board.jobs.open.values()))
+    task = next(iter(job.tasks.values()))
+    job.finish_task(task)
+    offer = Candidate(next(iter(board.pool.runners.values())), 1.0)
+    with pytest.raises(InvariantViolated, match="starts_at_most_once"):
+        SchedulingController()._start(job, task, offer, board)
+
+
+def test_a_partial_answer_is_noticed(monkeypatch):
+    """The first task that ends is taken for the end of its job."""
+    finish = ScheduledJob.finish_task
+
+    def finish_early(self, task):
+        finish(self, task)
+        return True
+
+    monkeypatch.setattr(ScheduledJob, "finish_task", finish_early)
+    world = settled_world()
+    with pytest.raises(InvariantViolated, match="answers_are_whole"):
+        submit_lookup(world, 1, scheduler_of(world))
+        world.run(300)
+
+
+def test_an_answer_for_another_caller_is_noticed():
+    world = settled_world()
+    name = others(world)[0]
+    submit_lookup(world, 1, name)
+    submit_lookup(world, 2, name)
+    world.run(5)
+    requests = world.instances[name].core.board.requests
+    first, second = requests.jobs.values()
+    first.requests, second.requests = second.requests, first.requests
+    with pytest.raises(InvariantViolated, match="answer_reaches_its_caller"):
+        world.run(300)
+
+
+def test_a_stop_that_cuts_a_request_is_noticed():
+    """The longest stop ends before the job of an open request."""
+    tuning = Tuning(longest_stop_ms=2_900)
+    world = settled_world(tuning=tuning)
+    name = others(world)[0]
+    world.submit(simple_job(1, 1, 8_000, 6_000), ORDER, name, 8_000)
+    world.run(100)
+    world.stop(name)
+    with pytest.raises(InvariantViolated, match="planned_stop_cuts_nothing"):
+        world.run(4_000)
+
+
 def place_without_looking(self, job, offers, latest_end, board):
     for task in list(job.waiting):
         self._start(job, task, offers[0], board)
@@ -110,6 +168,8 @@
     for number in range(30):
         submit_order(world, 10 + number, others(world)[1])
     world.run(1_000)
+    world.stop(others(world)[0])
+    world.run(4_000)
     checks = dict.fromkeys(InstanceInvariant, 0)
     for instance in world.instances.values():
         for kind, count in instance.core.board.auditor.checks.items():
