--- a/sassafrasloft/blackboard/__init__.py
+++ b/sassafrasloft/blackboard/__init__.py
@@ -1,6 +1,13 @@
 """Controllers over a blackboard, shared by all programs; no I/O."""
 
-from sassafrasloft.blackboard.board import Board, Command, Event
+from sassafrasloft.blackboard.board import (
+    Board,
+    Command,
+    Event,
+    SetTimer,
+    Started,
+    TimerFired,
+)
 from sassafrasloft.blackboard.controller import (
     Controller,
     ControllerRegistry,
@@ -14,4 +21,7 @@
     "ControllerRegistry",
     "DecisionCore",
     "Event",
+    "SetTimer",
+    "Started",
+    "TimerFired",
 ]
--- a/sassafrasloft/blackboard/board.py
+++ b/sassafrasloft/blackboard/board.py
@@ -15,6 +15,26 @@
     """Something that the edges of the process are to carry out."""
 
 
+@attrs.frozen
+class Started(Event):
+    """The process started; always the first event."""
+
+
+@attrs.frozen
+class TimerFired(Event):
+    """A timer that the core set has come due."""
+
+    name: str
+
+
+@attrs.frozen
+class SetTimer(Command):
+    """Asks for `TimerFired`; replaces a timer of that name."""
+
+    name: str
+    due_ms: Milliseconds
+
+
 class Board:
     """The time of the step, its commands and its posted events."""
 
--- a/sassafrasloft/core/__init__.py
+++ b/sassafrasloft/core/__init__.py
@@ -1,6 +1,12 @@
 """The decision core: events and the time in, commands out, no I/O."""
 
-from sassafrasloft.blackboard import Controller, DecisionCore
+from sassafrasloft.blackboard import (
+    Controller,
+    DecisionCore,
+    SetTimer,
+    Started,
+    TimerFired,
+)
 from sassafrasloft.core.blackboard import Blackboard
 from sassafrasloft.core.commands import (
     AbandonDelivery,
@@ -16,7 +22,6 @@
     Reply,
     SendToPeer,
     SetHealth,
-    SetTimer,
     Settle,
     Status,
     StopTasks,
@@ -49,13 +54,11 @@
     RequestAbandoned,
     SettingsAdopted,
     SettleReported,
-    Started,
     StatusRequested,
     TaskEnded,
     TaskReported,
     TaskReturned,
     TaskSent,
-    TimerFired,
     TraceContext,
 )
 
--- a/sassafrasloft/core/blackboard.py
+++ b/sassafrasloft/core/blackboard.py
@@ -2,9 +2,9 @@
 
 from random import Random
 
-from sassafrasloft.blackboard import Board
+from sassafrasloft.blackboard import Board, SetTimer
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.core.commands import SetTimer, WriteLog
+from sassafrasloft.core.commands import WriteLog
 from sassafrasloft.invariants import Auditor, Invariant
 from sassafrasloft.settings import ServiceSettings
 from sassafrasloft.state import (
--- a/sassafrasloft/core/commands.py
+++ b/sassafrasloft/core/commands.py
@@ -118,14 +118,6 @@
     call: PlatformCall
 
 
-@attrs.frozen
-class SetTimer(Command):
-    """Asks for `TimerFired` at a time; replaces a timer of the same name."""
-
-    name: str
-    due_ms: Milliseconds
-
-
 @attrs.frozen
 class RecordSpan(Command):
     """Writes one finished span of a trace."""
--- a/sassafrasloft/core/events.py
+++ b/sassafrasloft/core/events.py
@@ -17,18 +17,6 @@
     span_id: str = ""
 
 
-@attrs.frozen
-class Started(Event):
-    """The process started; always the first event."""
-
-
-@attrs.frozen
-class TimerFired(Event):
-    """A timer that the core set has come due."""
-
-    name: str
-
-
 # Requests of callers and operators. The edge makes each request id unique.
 
 
--- a/sassafrasloft/event_loop/process.py
+++ b/sassafrasloft/event_loop/process.py
@@ -7,7 +7,14 @@
 
 import attrs
 
-from sassafrasloft.blackboard import Command, DecisionCore, Event
+from sassafrasloft.blackboard import (
+    Command,
+    DecisionCore,
+    Event,
+    SetTimer,
+    Started,
+    TimerFired,
+)
 from sassafrasloft.clock import Clock, Milliseconds
 from sassafrasloft.event_loop.actor import InstanceActor
 from sassafrasloft.event_loop.http_messages import HttpRequest, HttpResponse
@@ -28,16 +35,13 @@
     SendMessage,
     SetHttpLimits,
     SetReadiness,
-    SetTimer,
     WriteLog,
 )
 from sassafrasloft.instance.events import (
     CallerGone,
     RunnerReplied,
-    Started,
     StopRequested,
     StoreReplied,
-    TimerFired,
 )
 from sassafrasloft.instance.settings import InstanceSettings
 from sassafrasloft.metadata import StoreOperation, StoreReply
@@ -156,7 +160,7 @@
             AnswerCaller: lambda one: self.callers_server.answer(
                 one.request_id, self._callers.write(one.answer)
             ),
-            SetTimer: lambda one: self._timers.set(one.name, one.at),
+            SetTimer: lambda one: self._timers.set(one.name, one.due_ms),
             SetReadiness: self._set_ready,
             SetHttpLimits: self._set_limits,
             CloseCallers: lambda _: self.callers_server.close_listener(),
--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -1,6 +1,6 @@
 """Takes callers' requests, hands jobs to the scheduler and answers."""
 
-from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.blackboard import Controller, Event, TimerFired
 from sassafrasloft.gateway.answers import AnswerKind, CallerAnswer
 from sassafrasloft.gateway.requests import OpenJob
 from sassafrasloft.instance.board import InstanceBoard
@@ -16,7 +16,6 @@
     SchedulerMessage,
     TargetChanged,
     TargetLost,
-    TimerFired,
 )
 from sassafrasloft.instance.messages import (
     CancelJob,
--- a/sassafrasloft/instance/board.py
+++ b/sassafrasloft/instance/board.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from sassafrasloft.blackboard import Board
+from sassafrasloft.blackboard import Board, SetTimer
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.gateway.requests import OpenRequests
-from sassafrasloft.instance.commands import SetTimer, WriteLog
+from sassafrasloft.instance.commands import WriteLog
 from sassafrasloft.instance.settings import InstanceSettings
 from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.invariants import Auditor
--- a/sassafrasloft/instance/commands.py
+++ b/sassafrasloft/instance/commands.py
@@ -63,14 +63,6 @@
     answer: CallerAnswer
 
 
-@attrs.frozen
-class SetTimer(Command):
-    """Asks for `TimerFired`; replaces a timer of that name."""
-
-    name: str
-    at: Milliseconds
-
-
 @attrs.frozen
 class SetReadiness(Command):
     """Tells the balancer whether to send new connections."""
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -15,18 +15,6 @@
 # From the edges
 
 
-@attrs.frozen
-class Started(Event):
-    """The process started; always the first event."""
-
-
-@attrs.frozen
-class TimerFired(Event):
-    """A timer that the core set has come due."""
-
-    name: str
-
-
 @attrs.frozen
 class StopRequested(Event):
     """The process is to stop without cutting off requests."""
--- a/sassafrasloft/instance/stopping.py
+++ b/sassafrasloft/instance/stopping.py
@@ -1,10 +1,10 @@
 """A planned stop that cuts off no request."""
 
-from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.blackboard import Controller, Event, TimerFired
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CloseCallers, ExitProcess
 from sassafrasloft.instance.controllers import CONTROLLERS
-from sassafrasloft.instance.events import StopRequested, TimerFired
+from sassafrasloft.instance.events import StopRequested
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.leadership import Role
 
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -1,6 +1,6 @@
 """The life of an instance with respect to the right to schedule."""
 
-from sassafrasloft.blackboard import Event
+from sassafrasloft.blackboard import Event, Started, TimerFired
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CloseStream, SendMessage, SetReadiness
 from sassafrasloft.instance.controllers import CONTROLLERS
@@ -10,14 +10,12 @@
     GatewayMessage,
     MessageReceived,
     SchedulerMessage,
-    Started,
     StopRequested,
     StoreItemChanged,
     StoreReplied,
     StreamClosed,
     StreamOpened,
     TargetChanged,
-    TimerFired,
 )
 from sassafrasloft.instance.messages import (
     Beat,
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -2,7 +2,7 @@
 
 from returns.result import Failure, Success
 
-from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.blackboard import Controller, Event, Started, TimerFired
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CallStore, SetHttpLimits
 from sassafrasloft.instance.controllers import CONTROLLERS
@@ -11,10 +11,8 @@
     ConfigurationOffered,
     RightGained,
     RunnersListed,
-    Started,
     StoreItemChanged,
     StoreReplied,
-    TimerFired,
 )
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.metadata.operations import (
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -1,6 +1,6 @@
 """Keeps runs on runners alive and learns of their ends."""
 
-from sassafrasloft.blackboard import Controller, Event
+from sassafrasloft.blackboard import Controller, Event, TimerFired
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
@@ -12,7 +12,6 @@
     RunnersListed,
     StopTask,
     TaskPlaced,
-    TimerFired,
     ZoneReturned,
 )
 from sassafrasloft.runs import health, holding
@@ -96,10 +95,7 @@
         pool = board.pool
         pool.zone = event.zone
         for view in list(pool.runners.values()):
-            if event.zone and view.entry.zone != event.zone:
-                self._give_up_runner(view, "its zone is scheduled by others", board)
-            else:
-                self._contact_again(view, board)
+            self._contact_again(view, board)
         for entry in pool.entries.values():
             self._see(entry, board)
 
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -1,6 +1,6 @@
 """Places waiting tasks, and learns what became of their runs."""
 
-from sassafrasloft.blackboard import Event
+from sassafrasloft.blackboard import Event, TimerFired
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.controllers import CONTROLLERS
@@ -14,7 +14,6 @@
     SchedulerMessage,
     StopTask,
     TaskPlaced,
-    TimerFired,
 )
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import Run, RunEnd, RunState
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -6,7 +6,14 @@
 import attrs
 import msgpack
 
-from sassafrasloft.blackboard import Command, DecisionCore, Event
+from sassafrasloft.blackboard import (
+    Command,
+    DecisionCore,
+    Event,
+    SetTimer,
+    Started,
+    TimerFired,
+)
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.gateway import CallerAnswer
 from sassafrasloft.instance.assembly import create_instance
@@ -19,7 +26,6 @@
     OpenStream,
     SendMessage,
     SetReadiness,
-    SetTimer,
     WriteLog,
 )
 from sassafrasloft.instance.events import (
@@ -27,12 +33,10 @@
     JobRequested,
     MessageReceived,
     RunnerReplied,
-    Started,
     StopRequested,
     StoreReplied,
     StreamClosed,
     StreamOpened,
-    TimerFired,
 )
 from sassafrasloft.instance.messages import decode_message, encode_message
 from sassafrasloft.instance.settings import InstanceSettings
