--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -182,7 +182,7 @@
 class TargetChanged(Event):
     """Jobs now go to another scheduler; `stream_id` 0 is this instance itself.
 
-    `acting` says that it schedules without the store's word: the scheduler before
+    `acting` says that it schedules without a lease from the store: the scheduler before
     it may still be at work.
     """
 
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -108,7 +108,7 @@
 class Welcome(Message):
     """The sender schedules under this token and takes jobs on this stream.
 
-    `acting` says that it does so without the store's word; then `zone` may name
+    `acting` says that it does so without a lease from the store; then `zone` may name
     the only availability zone that it schedules for.
     """
 
@@ -146,7 +146,7 @@
 @register_message("heard_query")
 @attrs.frozen
 class HeardQuery(Message):
-    """Asks whether the receiver still hears from the scheduler of a revision."""
+    """Asks whether the receiver gets beats from the scheduler of a revision."""
 
     revision: int
 
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -102,7 +102,7 @@
                 board.post(ZoneReturned(one.zone, one.round + 1))
 
     def take_handover(self, message: Handover, board: InstanceBoard) -> None:
-        """Note the fencing tokens of an acting scheduler that gives way."""
+        """Note the fencing tokens of an acting scheduler that steps down."""
         self._take_rounds(message.rounds, board)
 
     def beat(self, board: InstanceBoard) -> None:
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -1,11 +1,11 @@
 """How an instance without a scheduler finds or becomes one.
 
-It connects to the holder of the right. If that fails it asks the other instances:
-if any of them still hears from the holder, this instance is the one that is cut
+It connects to the holder of the right. If that fails it asks the other instances. If
+any of them still receives beats from the holder, this instance is the one that is cut
 off. If most of them have lost the holder as well, they take over the right in the
 store one after the other. If the store does not answer, one of them acts as scheduler
-meanwhile. Instances of a zone that can reach each other, but not most of the
-others, have an acting scheduler for their own zone.
+meanwhile. Instances of a zone that can reach each other, but not most of the others,
+have an acting scheduler for their own zone.
 """
 
 import attrs
@@ -61,7 +61,7 @@
     """Whether the store did not answer the last claim."""
 
     def turn_to_new_holder(self) -> None:
-        """Forget what speaks against the former holder."""
+        """Discard the evidence against the former holder."""
         self.evidence = ""
         self.connect_at = 0
         self.claim_at = -1
@@ -111,7 +111,7 @@
 
 
 def start_vote(search: Search, board: InstanceBoard) -> None:
-    """Ask all known instances whether they hear from the scheduler."""
+    """Ask all known instances whether they receive beats from the scheduler."""
     search.vote_started_at = board.now
     if search.first_vote_at < 0:
         search.first_vote_at = board.now
@@ -130,7 +130,7 @@
 
 
 def ask(stream: StreamState, board: InstanceBoard) -> None:
-    """Ask one instance whether it hears from the scheduler."""
+    """Ask one instance whether it receives beats from the scheduler."""
     query = HeardQuery(board.rights.known_revision)
     board.emit(SendMessage(stream.stream_id, query))
 
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -22,7 +22,7 @@
     FOLLOWING = "following"
     SCHEDULING = "scheduling"
     ACTING = "acting"
-    """It schedules for those that can reach it, without the store's word."""
+    """It schedules for those that can reach it, without a lease from the store."""
 
 
 @attrs.frozen
--- a/sassafrasloft/runs/health.py
+++ b/sassafrasloft/runs/health.py
@@ -1,6 +1,6 @@
 """Which runners are believed to be sound.
 
-Load patterns: runners that fail all they start, that let tasks stand still, that
+Load patterns: runners that fail all they start, on which tasks stall, that
 turn slow, or that refuse work for a while.
 """
 
@@ -111,7 +111,7 @@
             unknown = True
             continue
         if run.percent_done <= 0:
-            quarantine(view, "tasks stand still", board)
+            quarantine(view, "tasks make no progress", board)
         remaining = _remaining_ms(run, elapsed)
         slowness = current_slowness(view, board.now)
         board.post(RunOverdue(run, elapsed, remaining, slowness))
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -151,5 +151,5 @@
     inherited: dict[str, JobProgress] = attrs.field(factory=dict)
     """What an earlier scheduler handed over, by job."""
     predecessor_known: bool = False
-    """Whether the scheduler before this one has told of all of its runs."""
+    """Whether the scheduler before this one has reported all of its runs."""
     changed: bool = False
--- a/sassafrasloft/scheduling/stragglers.py
+++ b/sassafrasloft/scheduling/stragglers.py
@@ -1,6 +1,6 @@
 """Which overdue runs are started again elsewhere.
 
-Load patterns: runners that turn slow, and runners on which tasks stand still.
+Load patterns: runners that turn slow, and runners on which tasks stall.
 """
 
 from sassafrasloft.instance.board import InstanceBoard
@@ -37,7 +37,7 @@
     """Return how long a new run is expected to take on a sound runner.
 
     A task may simply be longer than declared: only the slowness that other runs
-    have shown on the runner speaks for another one.
+    have shown on the runner counts.
     """
     if overdue.remaining_ms == float("inf"):
         return overdue.run.expected_ms
