Count only work that may start as work ahead of a new job

Change: scheduling/earlier_runs.py decides which jobs and tasks may start; admission and Retry-After count only those.

--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -11,6 +11,7 @@
 import attrs
 
 from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.scheduling.earlier_runs import startable_tasks
 from sassafrasloft.scheduling.jobs import ScheduledJob
 from sassafrasloft.scheduling.registry import PolicyRegistry
 
@@ -119,19 +120,19 @@
     if not room:
         return 0.0
     ahead = sum(
-        _waiting_work(one)
+        _waiting_work(one, board)
         for one in board.jobs.open.values()
         if one is not job and one.priority <= job.priority
     )
     return ahead / room
 
 
-def _waiting_work(job: ScheduledJob) -> float:
-    """Return the millicore-milliseconds of a job's waiting tasks."""
+def _waiting_work(job: ScheduledJob, board: InstanceBoard) -> float:
+    """Return the millicore-milliseconds of a job's tasks that wait for room."""
     steps = job.request.steps
     return sum(
         steps[task.step].demand.millicores * steps[task.step].estimate_ms
-        for task in job.waiting
+        for task in startable_tasks(job, board)
     )
 
 
@@ -147,6 +148,6 @@
     """Return when a refused caller may come back: once the waiting work is done."""
     services = {job.route.service for job in board.jobs.open.values()}
     room = sum(_capacity(service, board) for service in services)
-    waiting = sum(_waiting_work(job) for job in board.jobs.open.values())
+    waiting = sum(_waiting_work(job, board) for job in board.jobs.open.values())
     seconds = math.ceil(waiting / room / _SECOND_MS) if room else 0
     return max(board.tuning.shortest_retry_after_s, seconds)
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -18,6 +18,7 @@
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import Run, RunEnd, RunState
 from sassafrasloft.scheduling.admission import Refusal, retry_after_s
+from sassafrasloft.scheduling.earlier_runs import may_start
 from sassafrasloft.scheduling.job_keeping import (
     PRUNE_MS,
     PRUNE_TIMER,
@@ -208,7 +209,7 @@
     ) -> bool:
         """Start a job late on slow runners rather than refuse it."""
         slow = [one for one in offers if one.slowness > SLOW]
-        if not slow or not self._may_start(job, board):
+        if not slow or not may_start(job, board):
             return False
         self._place_tasks(job, slow, job.deadline_at, board)
         return any(task.run is not None for task in job.tasks.values())
@@ -235,26 +236,10 @@
             self._wait_timer_at = at
             board.set_timer(WAIT_TIMER, at - board.now)
 
-    def _may_start(self, job: ScheduledJob, board: InstanceBoard) -> bool:
-        """Return whether no earlier scheduler can still have runs of the job.
-
-        A runner that has not answered may go on with them until its leases end.
-        """
-        if not job.resubmitted or board.jobs.predecessor_known:
-            return True
-        tuning = board.tuning
-        regained = board.configuration.store_regained_at
-        if 0 <= board.now - regained < tuning.missing_grace_ms and regained >= 0:
-            # Runners that lost their entries may not be known yet.
-            return False
-        lapse = tuning.lease_ms + tuning.lapse_margin_ms
-        silence = tuning.silence_ms
-        return not board.pool.unknown_runs_possible(board.now, lapse + silence)
-
     def _place_job(
         self, job: ScheduledJob, offers: list[Candidate], board: InstanceBoard
     ) -> None:
-        if not offers or not self._may_start(job, board):
+        if not offers or not may_start(job, board):
             return
         latest_end = int(job.arrived_at + job.objective_ms)
         if board.now + job.work_ms > latest_end:
