Replace a silent scheduler sooner

Change: beats each 50 ms, silence 250 ms, connection attempts 80 ms, acting after 250 ms. Another instance that has heard the scheduler within three beats still prevents a takeover.

--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -71,17 +71,18 @@
     right_lease_ms: Milliseconds = 2_000
     """A right without its holder ends after this; two failed renewals fit."""
     right_renewal_ms: Milliseconds = 600
-    beat_ms: Milliseconds = 100
-    """Three beats fit into the silence that is taken for a failure."""
-    silence_ms: Milliseconds = 350
-    """Without any message for this long a stream is taken for dead."""
-    connect_timeout_ms: Milliseconds = 200
+    beat_ms: Milliseconds = 50
+    """Four beats fit into the silence that is taken for a failure."""
+    silence_ms: Milliseconds = 250
+    """Without any message for this long a stream is taken for dead: an instance may
+    stand still for 100 when its share of a processor is used up."""
+    connect_timeout_ms: Milliseconds = 80
     """A connection takes under 5 between zones."""
     rank_delay_ms: Milliseconds = 30
     """Successors try one after the other; a claim takes about 10."""
     vote_ms: Milliseconds = 120
     """How long answers of other instances are waited for."""
-    acting_delay_ms: Milliseconds = 450
+    acting_delay_ms: Milliseconds = 250
     """Without any scheduler for this long an instance acts as one: a connection
     that is not made, a vote and a call of the store take about this."""
     fenced_ms: Milliseconds = 3_000
@@ -90,7 +91,7 @@
     """After this an instance no longer counts towards a majority."""
     slow_beat_ms: Milliseconds = 40
     """A scheduler whose beats are this late on average has too little processor."""
-    slow_beats: int = 5
+    slow_beats: int = 10
     """Half a second of beats decides; a burst of work is shorter."""
     pause_ms: Milliseconds = 600
     """A gap between events above this means that the process was suspended."""
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -25,7 +25,7 @@
     TransactionRefused,
 )
 
-FRESH_BEATS = 2
+FRESH_BEATS = 3
 """A scheduler that was heard within this many beats is alive."""
 STEP_MS = 20
 """Period of the steps of a search, in milliseconds."""
