Serve jobs that are late already in the room that others leave

Change: a job whose caller has less time left than the timeout of its route is taken as repeated, unless that is usual on the route. Order "in_time_first" puts late jobs last; they wait while their callers do, and are refused on arrival if the work ahead takes longer.

--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -13,6 +13,7 @@
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.scheduling.earlier_runs import startable_tasks
 from sassafrasloft.scheduling.jobs import ScheduledJob
+from sassafrasloft.scheduling.lateness import goes_before
 from sassafrasloft.scheduling.registry import PolicyRegistry
 
 _SECOND_MS = 1_000
@@ -76,7 +77,8 @@
     """Lets a job wait while it can still be in time, if room is to be expected.
 
     Room comes free at any moment, so that a short wait saves most jobs of a burst.
-    A job is refused on arrival if the work ahead of it takes longer than that.
+    A job is refused on arrival if the work ahead of it takes longer than that. One
+    that is late already waits while its caller does, if its turn comes in that time.
     """
 
     def on_arrival(self, job: ScheduledJob, board: InstanceBoard) -> Refusal | None:
@@ -84,9 +86,8 @@
         refusal = _refusal_in_any_case(job, board)
         if refusal is None:
             wait_ms = expected_wait_ms(job, board)
-            if board.now + wait_ms > LATE_FACTOR * self._slack(job, board) + (
-                job.arrived_at
-            ):
+            factor = 1.0 if job.repeated else LATE_FACTOR
+            if board.now + wait_ms > job.arrived_at + factor * self._slack(job, board):
                 reason = f"the work ahead takes {wait_ms:.0f} ms"
                 refusal = Refusal(reason, retry_after_s(board))
         return refusal
@@ -96,8 +97,10 @@
         return job.arrived_at + self._slack(job, board)
 
     def _slack(self, job: ScheduledJob, board: InstanceBoard) -> float:
-        slack = job.objective_ms - job.work_ms - board.tuning.wait_margin_ms
         latest = job.deadline_at - job.arrived_at - job.work_ms
+        if job.repeated:
+            return max(0.0, latest)
+        slack = job.objective_ms - job.work_ms - board.tuning.wait_margin_ms
         return max(0.0, min(slack, latest))
 
 
@@ -122,7 +125,7 @@
     ahead = sum(
         _waiting_work(one, board)
         for one in board.jobs.open.values()
-        if one is not job and one.priority <= job.priority
+        if one is not job and goes_before(one, job, board.now)
     )
     return ahead / room
 
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -60,7 +60,7 @@
 
     def __init__(
         self,
-        order: str = "priority",
+        order: str = "in_time_first",
         placement: str = "best_fit",
         admission: str = "while_in_time",
     ) -> None:
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -32,6 +32,7 @@
     ScheduledTask,
     TaskState,
 )
+from sassafrasloft.scheduling.lateness import CallerPatience
 
 WAIT_TIMER = "scheduling.wait"
 PRUNE_TIMER = "scheduling.prune"
@@ -53,6 +54,7 @@
 
     def __init__(self, admission: str = "while_in_time") -> None:
         self._admission = ADMISSIONS.create(admission)
+        self._patience = CallerPatience()
 
     def _take_message(
         self, stream_id: int, message: Message, board: InstanceBoard
@@ -162,6 +164,7 @@
             chain,
             board.now,
             resubmitted=message.resubmitted,
+            repeated=self._patience.note(route, message.age_ms + message.remaining_ms),
             former_revision=message.former_revision,
         )
         job.create_tasks()
@@ -170,7 +173,8 @@
             "admitted",
             f"route={route.name} version={board.configuration.current.version} "
             f"age_ms={message.age_ms} tasks={len(job.tasks)} "
-            f"objective_ms={job.objective_ms:.0f} resubmitted={message.resubmitted}",
+            f"objective_ms={job.objective_ms:.0f} resubmitted={message.resubmitted} "
+            f"remaining_ms={message.remaining_ms} repeated={job.repeated}",
         )
         return job
 
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -84,6 +84,8 @@
     unfollowed_since: Milliseconds = -1
     """When the last instance that waited for the answer was lost."""
     resubmitted: bool = False
+    repeated: bool = False
+    """Whether its caller has sent it before, as the time that it still waits tells."""
     former_revision: int = 0
     """Of the right of the scheduler that had it before; 0 if unknown or acting."""
     trail: list[tuple[Milliseconds, str, str]] = attrs.field(factory=list)
--- a/sassafrasloft/scheduling/ordering.py
+++ b/sassafrasloft/scheduling/ordering.py
@@ -1,12 +1,14 @@
 """The order in which waiting jobs get room.
 
-Load pattern: a burst asks for more than all runners have.
+Load pattern: a burst, or callers that come back after an outage, ask for more than
+all runners have.
 """
 
 from abc import ABC, abstractmethod
 
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.scheduling.jobs import ScheduledJob
+from sassafrasloft.scheduling.lateness import is_late
 from sassafrasloft.scheduling.registry import PolicyRegistry
 
 
@@ -30,6 +32,19 @@
         return (job.arrived_at,)
 
 
+@ORDERS.register("in_time_first")
+class InTimeFirst(JobOrder):
+    """Jobs that have begun first, then those that can be in time, by priority.
+
+    After an outage the jobs that are late already take the room that is left.
+    """
+
+    def key(self, job: ScheduledJob, now: Milliseconds) -> tuple:
+        """Return what `PriorityOrder` does, behind whether the job is late."""
+        late = not job.offered and is_late(job, now)
+        return (not job.offered, late, job.priority, job.arrived_at)
+
+
 @ORDERS.register("priority")
 class PriorityOrder(JobOrder):
     """Jobs that have begun first, then by priority, then by arrival.
