Let followers tell a new scheduler which runners they know

Change: Welcome says how many runners the scheduler knows; a follower that knows more sends its entries before its jobs.

--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -135,6 +135,13 @@
     document: bytes
 
 
+@attrs.frozen
+class RunnersOffered(Event):
+    """Another instance knows more runners; their entries may have lapsed."""
+
+    entries: tuple[RunnerEntry, ...]
+
+
 @attrs.frozen
 class RunnersListed(Event):
     """A fresh list of runners was read."""
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.runs.runners import RunnerEntry
 from sassafrasloft.workload import JobRequest, from_packed, to_packed
 
 _KINDS: dict[str, type["Message"]] = {}
@@ -110,7 +111,7 @@
 
     `acting` says that it does so without a lease from the store; then `zone` may name
     the only availability zone that it schedules for. `active_ms` is for how long it
-    has scheduled.
+    has scheduled, and `runners_known` how many runners it knows.
     """
 
     name: str
@@ -118,6 +119,7 @@
     zone: str
     acting: bool
     active_ms: Milliseconds = 0
+    runners_known: int = 0
 
 
 @register_message("configuration")
@@ -128,6 +130,14 @@
     document: bytes
 
 
+@register_message("runners")
+@attrs.frozen
+class RunnersOffer(Message):
+    """Runners that the sender knows, to a scheduler that knows fewer."""
+
+    entries: tuple[RunnerEntry, ...]
+
+
 @register_message("not_scheduling")
 @attrs.frozen
 class NotScheduling(Message):
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -9,6 +9,7 @@
     ConfigurationOffered,
     GatewayMessage,
     MessageReceived,
+    RunnersOffered,
     SchedulerMessage,
     StopRequested,
     StoreItemChanged,
@@ -33,6 +34,7 @@
     QueryJob,
     QueryQueue,
     QueueState,
+    RunnersOffer,
     SchedulerMoved,
     SubmitJob,
     Welcome,
@@ -206,6 +208,8 @@
                 rights.roster = message.roster
         elif isinstance(message, ConfigurationOffer):
             board.post(ConfigurationOffered(message.document))
+        elif isinstance(message, RunnersOffer):
+            board.post(RunnersOffered(message.entries))
         elif isinstance(message, Hello):
             self._take_hello(stream, message, board)
         elif isinstance(message, Welcome):
@@ -251,6 +255,9 @@
         if self._handover is not None and not message.acting:
             board.emit(SendMessage(stream.stream_id, self._handover))
             self._handover = None
+        if len(board.pool.entries) > message.runners_known:
+            offer = RunnersOffer(tuple(board.pool.entries.values()))
+            board.emit(SendMessage(stream.stream_id, offer))
         rights.role = Role.FOLLOWING
         rights.target = stream.stream_id
         rights.target_heard_at = board.now
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -81,6 +81,7 @@
                     board.pool.zone,
                     rights.role is Role.ACTING,
                     board.now - board.pool.activated_at,
+                    len(board.pool.entries),
                 ),
             )
         )
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -9,6 +9,7 @@
     RunAccepted,
     RunnerReplied,
     RunnersListed,
+    RunnersOffered,
     StopTask,
     TaskPlaced,
     ZoneReturned,
@@ -35,6 +36,7 @@
         RightGained,
         RightLost,
         RunnersListed,
+        RunnersOffered,
         RunnerReplied,
         TaskPlaced,
         StopTask,
@@ -57,6 +59,8 @@
                 self._sweep(board)
         elif isinstance(event, RunnersListed):
             self._take_list(event.entries, board)
+        elif isinstance(event, RunnersOffered):
+            self._take_offer(event.entries, board)
         elif isinstance(event, RightGained):
             self._activate(event, board)
         elif isinstance(event, RightLost):
--- a/sassafrasloft/runs/runner_list.py
+++ b/sassafrasloft/runs/runner_list.py
@@ -83,11 +83,30 @@
                 self._note_missing(view, board)
         pool.changed = True
 
+    def _take_offer(
+        self, entries: tuple[RunnerEntry, ...], board: InstanceBoard
+    ) -> None:
+        """Take runners whose entries lapsed before this instance read the list.
+
+        What is offered later than entries take to come back has left.
+        """
+        pool = board.pool
+        unknown = [one for one in entries if one.runner_id not in pool.entries]
+        active_ms = board.now - pool.activated_at
+        if not unknown or active_ms > board.tuning.missing_grace_ms:
+            return
+        board.log("runners_offered", count=len(unknown), known=len(pool.entries))
+        pool.offered_at = board.now
+        for entry in unknown:
+            pool.entries[entry.runner_id] = entry
+            if pool.active:
+                self._see(entry, board)
+
     def _entries_may_be_missing(self, board: InstanceBoard) -> bool:
         """Return whether entries that lapsed in an outage may not be back yet."""
         regained = board.configuration.store_regained_at
-        age = board.now - regained
-        return regained >= 0 and age < board.tuning.missing_grace_ms
+        latest = max(regained, board.pool.offered_at)
+        return latest >= 0 and board.now - latest < board.tuning.missing_grace_ms
 
     def _see(self, entry: RunnerEntry, board: InstanceBoard) -> None:
         pool = board.pool
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -144,6 +144,8 @@
     entries: dict[str, RunnerEntry] = attrs.field(factory=dict)
     """The newest list of runners, kept whether or not this instance schedules."""
     entries_read_at: Milliseconds = -1
+    offered_at: Milliseconds = -1
+    """When another instance last told of runners that were not listed."""
     runners: dict[str, RunnerView] = attrs.field(factory=dict)
     live_runs: dict[str, Run] = attrs.field(factory=dict)
     """By task; at most one run of a task is on a live runner."""
--- a/sassafrasloft/testing/fleet/tests/test_takeover.py
+++ b/sassafrasloft/testing/fleet/tests/test_takeover.py
@@ -6,9 +6,10 @@
     completed,
     scheduler_of,
     settled_world,
+    submit_lookup,
     submit_order,
 )
-from sassafrasloft.testing.fleet.tests.test_cuts import cut_zone
+from sassafrasloft.testing.fleet.tests.test_cuts import cut_zone, zone_of
 from sassafrasloft.testing.fleet.world import simple_job
 
 
@@ -42,3 +43,36 @@
     job = world.submit(simple_job(100, 2, 14_000, 60), ORDER, outside[0])
     world.run(150)
     assert completed(job)
+
+
+def test_a_scheduler_that_has_just_started_learns_runners_from_its_followers():
+    """Guards against idle runners after an outage of the store.
+
+    Their entries had lapsed and come back within two seconds; the new scheduler was
+    started in the outage and had never seen them.
+    """
+    world = settled_world()
+    old = scheduler_of(world)
+    new = next(name for name in sorted(world.instances) if name != old)
+    world.store_down = True
+    world.run(400)
+    world.kill(new)
+    world.run(300)
+    world.start_instance(new, zone_of(world, new))
+    world.run(600)
+    entries = [runner.entry for runner in world.runners.values()]
+    for entry in entries:
+        world.unregister(entry.runner_id)
+    world.store_down = False
+    world.run(600)
+    world.kill(old)
+    world.run(200)
+    assert scheduler_of(world) == new
+    instance = next(name for name in world.instances if name not in (old, new))
+    job = submit_lookup(world, 1, instance)
+    world.run(200)
+    assert completed(job)
+    for entry in entries:
+        world.register(entry)
+    world.run(4_000)
+    assert len(world.instances[new].core.board.pool.runners) == len(entries)
