Refuse late jobs once new ones take the room that they wait for

Cause: late jobs were let in if the work ahead on arrival took less than all of their callers' time, but new jobs keep coming and go first. Change: the work of new jobs is measured by service as it arrives (work_rate.py). A late job is refused, on arrival and with each placing, if the work ahead takes longer than the share of its time that new jobs leave.

--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -34,6 +34,18 @@
     def on_arrival(self, job: ScheduledJob, board: InstanceBoard) -> Refusal | None:
         """Return a refusal if it is already known that the job cannot be served."""
 
+    def while_waiting(
+        self, job: ScheduledJob, work_ahead: float, board: InstanceBoard
+    ) -> Refusal | None:
+        """Return a refusal once it is known that a waiting job cannot be served.
+
+        Parameters
+        ----------
+        work_ahead : float
+            Millicore-milliseconds that go before the job.
+        """
+        return None
+
     @abstractmethod
     def latest_start(self, job: ScheduledJob, board: InstanceBoard) -> float:
         """Return until when a job that has not begun may wait."""
@@ -85,13 +97,34 @@
         """Refuse a job that would be late behind the work that goes before it."""
         refusal = _refusal_in_any_case(job, board)
         if refusal is None:
-            wait_ms = expected_wait_ms(job, board)
-            factor = 1.0 if job.repeated else LATE_FACTOR
-            if board.now + wait_ms > job.arrived_at + factor * self._slack(job, board):
-                reason = f"the work ahead takes {wait_ms:.0f} ms"
-                refusal = Refusal(reason, retry_after_s(board))
+            refusal = self._on_wait(job, expected_wait_ms(job, board), board)
         return refusal
 
+    def while_waiting(
+        self, job: ScheduledJob, work_ahead: float, board: InstanceBoard
+    ) -> Refusal | None:
+        """Refuse a late job once new ones have taken the room that it waited for."""
+        room = _capacity(job.route.service, board)
+        if not (job.repeated and room):
+            return None
+        return self._on_wait(job, work_ahead / room, board)
+
+    def _on_wait(
+        self, job: ScheduledJob, wait_ms: float, board: InstanceBoard
+    ) -> Refusal | None:
+        latest = self.latest_start(job, board)
+        if job.repeated:
+            left = _share_left(job.route.service, board)
+            too_long = wait_ms > left * (latest - board.now)
+        else:
+            too_long = wait_ms > LATE_FACTOR * (latest - job.arrived_at) - (
+                board.now - job.arrived_at
+            )
+        if not too_long:
+            return None
+        reason = f"the work ahead takes {wait_ms:.0f} ms"
+        return Refusal(reason, retry_after_s(board))
+
     def latest_start(self, job: ScheduledJob, board: InstanceBoard) -> float:
         """Return when the job has to start to be in time, as far as is known."""
         return job.arrived_at + self._slack(job, board)
@@ -104,6 +137,8 @@
         return max(0.0, min(slack, latest))
 
 
+LEAST_SHARE_LEFT = 0.1
+"""Of the room, for late jobs: some new ones are refused or cancelled."""
 LATE_FACTOR = 2.0
 """Work ahead is often refused or cancelled before it runs: only a wait of this many
 times the slack is taken as certain to be too long."""
@@ -123,14 +158,14 @@
     if not room:
         return 0.0
     ahead = sum(
-        _waiting_work(one, board)
+        waiting_work(one, board)
         for one in board.jobs.open.values()
         if one is not job and goes_before(one, job, board.now)
     )
     return ahead / room
 
 
-def _waiting_work(job: ScheduledJob, board: InstanceBoard) -> float:
+def waiting_work(job: ScheduledJob, board: InstanceBoard) -> float:
     """Return the millicore-milliseconds of a job's tasks that wait for room."""
     steps = job.request.steps
     return sum(
@@ -147,10 +182,17 @@
     )
 
 
+def _share_left(service: str, board: InstanceBoard) -> float:
+    """Return the share of the room that new jobs leave to late ones."""
+    room = _capacity(service, board)
+    busy = board.jobs.new_work.millicores(service, board.now)
+    return max(LEAST_SHARE_LEFT, 1.0 - busy / room) if room else LEAST_SHARE_LEFT
+
+
 def retry_after_s(board: InstanceBoard) -> int:
     """Return when a refused caller may come back: once the waiting work is done."""
     services = {job.route.service for job in board.jobs.open.values()}
     room = sum(_capacity(service, board) for service in services)
-    waiting = sum(_waiting_work(job, board) for job in board.jobs.open.values())
+    waiting = sum(waiting_work(job, board) for job in board.jobs.open.values())
     seconds = math.ceil(waiting / room / _SECOND_MS) if room else 0
     return max(board.tuning.shortest_retry_after_s, seconds)
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -1,5 +1,7 @@
 """Places waiting tasks, and learns what became of their runs."""
 
+from collections import Counter
+
 from sassafrasloft.blackboard import Event, TimerFired
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
@@ -17,7 +19,11 @@
 )
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import Run, RunEnd, RunState
-from sassafrasloft.scheduling.admission import Refusal, retry_after_s
+from sassafrasloft.scheduling.admission import (
+    Refusal,
+    retry_after_s,
+    waiting_work,
+)
 from sassafrasloft.scheduling.earlier_runs import may_start
 from sassafrasloft.scheduling.job_keeping import (
     PRUNE_MS,
@@ -184,12 +190,16 @@
         order = self._order
         waiting.sort(key=lambda job: order.key(job, now))
         offers: dict[str, list[Candidate]] = {}
+        ahead: Counter[str] = Counter()
         next_limit = float("inf")
         for job in waiting:
             service = job.route.service
             if service not in offers:
                 offers[service] = candidates(board.pool, service, now)
             self._place_job(job, offers[service], board)
+            if self._refuse_if_hopeless(job, ahead[service], board):
+                continue
+            ahead[service] += waiting_work(job, board)
             limit = self._limit_of(job, board)
             if limit is None:
                 continue
@@ -205,6 +215,16 @@
                 next_limit = min(next_limit, limit)
         self._set_wait_timer(next_limit, board)
 
+    def _refuse_if_hopeless(
+        self, job: ScheduledJob, work_ahead: float, board: InstanceBoard
+    ) -> bool:
+        if job.offered or job.resubmitted:
+            return False
+        refusal = self._admission.while_waiting(job, work_ahead, board)
+        if refusal is not None:
+            self._refuse(job, refusal, board)
+        return refusal is not None
+
     def _start_on_slow(
         self, job: ScheduledJob, offers: list[Candidate], board: InstanceBoard
     ) -> bool:
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -25,7 +25,7 @@
 )
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import RunState
-from sassafrasloft.scheduling.admission import ADMISSIONS, Refusal
+from sassafrasloft.scheduling.admission import ADMISSIONS, Refusal, waiting_work
 from sassafrasloft.scheduling.jobs import (
     JobOutcome,
     ScheduledJob,
@@ -145,6 +145,9 @@
         board.count("jobs_taken")
         settled = message.former_revision in board.jobs.handed_over
         self._inherit(job, 0 if settled else message.settle_ms, board)
+        if not job.repeated:
+            work = waiting_work(job, board)
+            board.jobs.new_work.note(job.route.service, work, board.now)
         refusal = None
         if not job.offered and not job.resubmitted:
             refusal = self._admission.on_arrival(job, board)
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -7,6 +7,7 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.messages import JobProgress
 from sassafrasloft.runs import Run
+from sassafrasloft.scheduling.work_rate import WorkRate
 from sassafrasloft.workload import JobRequest, Route, task_name
 
 
@@ -158,4 +159,6 @@
     """Revisions of rights whose holders have reported all of their runs."""
     predecessor_known: bool = False
     """Whether the scheduler before this one has reported all of its runs."""
+    new_work: WorkRate = attrs.field(factory=WorkRate)
+    """Work of jobs that can be in time, as it arrives."""
     changed: bool = False
--- a/sassafrasloft/testing/fleet/tests/test_repeated_jobs.py
+++ b/sassafrasloft/testing/fleet/tests/test_repeated_jobs.py
@@ -69,3 +69,21 @@
     world.run(50)
     assert late.answer.kind is AnswerKind.REFUSED
     assert late.answer.retry_after_s >= 1
+
+
+def test_few_late_jobs_wait_in_vain():
+    """Guards against callers that are held for most of their time and then refused.
+
+    New jobs keep coming and go first, which the work ahead on arrival does not show.
+    """
+    world = settled_world()
+    instances = others(world)
+    backlog = submit_backlog(world, 120, instances)
+    for number in range(60):
+        job = simple_job(200 + number, 2, 14_000, 200)
+        world.submit(job, CONFIRM, instances[number % len(instances)])
+        world.run(12)
+    world.run(1_500)
+    refused = [job for job in backlog if not completed(job)]
+    in_vain = [job for job in refused if job.waited_ms > LEFT_MS / 2]
+    assert len(in_vain) <= len(backlog) // 10
