--- /dev/null
+++ b/sassafrasloft/instance/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the parts of an instance."""
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -27,10 +27,10 @@
     hold_slack_ms: Milliseconds = 80
     """How late the answer to a waiting hold may be."""
     late_end_factor: float = 1.25
+    """Durations of tasks in one job vary by 15%; a few more end later."""
     late_end_slack_ms: Milliseconds = 20
     """A run whose end is not listed this long after the expected time is looked
-    for: the answer of a waiting hold may be lost. Durations of tasks in one job
-    vary by 15%."""
+    for: the answer of a waiting hold may be lost."""
     look_again_ms: Milliseconds = 50
     """Between looks for late ends on one runner."""
     longest_idle_wait_ms: Milliseconds = 1_000
@@ -71,6 +71,7 @@
     right_lease_ms: Milliseconds = 2_000
     """A right without its holder ends after this; two failed renewals fit."""
     right_renewal_ms: Milliseconds = 600
+    """Three renewals fit into the lease of the right."""
     beat_ms: Milliseconds = 50
     """Four beats fit into the silence that is taken for a failure."""
     silence_ms: Milliseconds = 250
--- a/sassafrasloft/operators/reference.py
+++ b/sassafrasloft/operators/reference.py
@@ -3,13 +3,19 @@
 ``python -m sassafrasloft.operators.reference`` writes both; a test compares.
 """
 
+import ast
 import inspect
+import itertools
 import pkgutil
 from importlib import import_module
 from pathlib import Path
 
+import attrs
+
 import sassafrasloft
 from sassafrasloft.errors import error_kinds
+from sassafrasloft.instance.tuning import Tuning
+from sassafrasloft.instance.tuning_file import registered_checks as tuning_checks
 from sassafrasloft.settings.cross_checks import registered_checks
 from sassafrasloft.settings.rules import (
     NAMED_SECTIONS,
@@ -59,6 +65,16 @@
 of a member changes that member.
 """
 
+TUNING_HEAD = """\
+## Tunables of instances on a platform
+
+Instances that `platform/serve.py` runs take their addresses and limits from the file
+that the platform gives them. Their own times and limits can be set in a YAML file, a
+mapping of these keys, that `--tuning` names; what it does not state has its default.
+`--check` reads both files and lists all errors at once (exit status 2).
+
+"""
+
 ERRORS_HEAD = f"""\
 # Error kinds
 
@@ -85,6 +101,7 @@
         for sentence in map(_sentence, registered_checks())
     )
     parts.append(f"## Checks across settings\n\n{checks}\n")
+    parts.append(tuning_reference())
     return "\n".join(parts)
 
 
@@ -120,6 +137,33 @@
     return " ".join(text.split("\n\n")[0].split()).removeprefix("Check that ")
 
 
+def tuning_reference() -> str:
+    """Return the section about the tunables of instances on a platform."""
+    rows = [
+        "| key | unit | default | where the figure comes from |",
+        "|---|---|---|---|",
+    ]
+    reasons = _attribute_comments(Tuning)
+    for field in attrs.fields(Tuning):
+        reason = reasons.get(field.name, "")
+        unit = unit_of(field.name)
+        rows.append(f"| `{field.name}` | {unit} | `{field.default}` | {reason} |")
+    checks = [f"- `{one.field}`: {one.remedy}" for one in tuning_checks()]
+    return TUNING_HEAD + "\n".join(rows) + "\n\n" + "\n".join(checks) + "\n"
+
+
+def _attribute_comments(model: type) -> dict[str, str]:
+    """Return the text that follows each attribute in the source of a class."""
+    body = ast.parse(inspect.getsource(model)).body[0].body
+    return {
+        one.target.id: " ".join(ast.literal_eval(text.value).split())
+        for one, text in itertools.pairwise(body)
+        if isinstance(one, ast.AnnAssign)
+        and isinstance(text, ast.Expr)
+        and isinstance(text.value, ast.Constant)
+    }
+
+
 def _table(section: str) -> str:
     rows = ["| key | unit | default | allowed | meaning |", "|---|---|---|---|---|"]
     for key, field in fields_of(section).items():
--- a/sassafrasloft/settings/rules.py
+++ b/sassafrasloft/settings/rules.py
@@ -232,5 +232,11 @@
 
 def unit_of(key: str) -> str:
     """Return the unit that a key's name states, or an empty text."""
-    units = {"_ms": "ms", "_mb": "MB", "_bytes": "bytes", "_per_second": "1/s"}
+    units = {
+        "_ms": "ms",
+        "_mb": "MB",
+        "_bytes": "bytes",
+        "_per_second": "1/s",
+        "_s": "s",
+    }
     return next((unit for end, unit in units.items() if key.endswith(end)), "")
