Write spans of traced jobs into the log of instances

Change: a sampled traceparent of a caller goes with the job to its scheduler; request, schedule, wait and each run are log lines with the event "span". sassafrasloft-admin trace reads them from logs, past other lines.

--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -28,6 +28,7 @@
     QueueState,
     SubmitJob,
 )
+from sassafrasloft.instance.tracing import child_span, record_span
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.scheduling import JobOutcome
 from sassafrasloft.workload import Route
@@ -150,6 +151,9 @@
         objective = route.objective_ms(event.job.chain_ms())
         job = OpenJob(event.job, route, board.now, board.now + remaining, objective)
         job.requests.add(event.request_id)
+        if event.trace is not None:
+            job.caller_span = event.trace
+            job.span = child_span(event.trace, board)
         requests.jobs[event.job.job_id] = job
         board.count("requests_taken")
         self._submit(job, board)
@@ -166,6 +170,8 @@
             job.sent,
             max(0, job.settled_at - board.now),
             job.former_revision,
+            job.span.trace_id if job.span else "",
+            job.span.span_id if job.span else "",
         )
         job.sent = True
         job.sent_to_current = True
@@ -275,6 +281,16 @@
             reason=answer.detail,
             duration_ms=duration,
         )
+        if job.span is not None:
+            record_span(
+                board,
+                job.span,
+                job.caller_span,
+                "request",
+                job.arrived_at,
+                job=job_id,
+                answer=answer.kind.value,
+            )
         for request_id in sorted(job.requests):
             asked_for = board.requests.job_of.pop(request_id, "")
             board.auditor.check(
--- a/sassafrasloft/gateway/requests.py
+++ b/sassafrasloft/gateway/requests.py
@@ -3,6 +3,7 @@
 import attrs
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, Route
 
 
@@ -28,6 +29,9 @@
     requests: set[int] = attrs.field(factory=set)
     sent: bool = False
     sent_to_current: bool = False
+    caller_span: TraceParent | None = None
+    span: TraceParent | None = None
+    """Of this request, under the caller's; both only if the job is traced."""
     former_revision: int = 0
     """Of the right of the scheduler that had it last; 0 if that was acting."""
     settled_at: Milliseconds = 0
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -7,6 +7,7 @@
 from sassafrasloft.instance.messages import Message
 from sassafrasloft.metadata import StoreReply
 from sassafrasloft.runs import Run, RunEnd, RunnerEntry, RunnerReply
+from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, ServiceConfiguration
 
 OWN_INSTANCE = 0
@@ -77,6 +78,8 @@
         How long the caller waits; 0 if it did not say.
     unsupported : str
         Why such a job cannot be served; empty if it can.
+    trace : TraceParent, optional
+        The caller's span, if it records one.
     """
 
     request_id: int
@@ -85,6 +88,7 @@
     job: JobRequest
     remaining_ms: Milliseconds
     unsupported: str = ""
+    trace: TraceParent | None = None
 
 
 @attrs.frozen
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -193,7 +193,7 @@
     `resubmitted` says that a scheduler may already have started tasks of it.
     `settle_ms` is how long runs of the scheduler that had the job may go on, on runners
     that no other instance knows. `former_revision` is that of its right; 0 if it was
-    acting.
+    acting. `trace_id` and `span_id` name the sender's span if the job is traced.
     """
 
     job: JobRequest
@@ -203,6 +203,8 @@
     resubmitted: bool
     settle_ms: Milliseconds = 0
     former_revision: int = 0
+    trace_id: str = ""
+    span_id: str = ""
 
 
 @register_message("cancel")
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -17,6 +17,7 @@
     StopTask,
     TaskPlaced,
 )
+from sassafrasloft.instance.tracing import child_span, record_span
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import Run, RunEnd, RunState
 from sassafrasloft.scheduling.admission import (
@@ -136,6 +137,7 @@
             return
         job, task = found
         run = event.run
+        self._trace_run(job, event, board)
         if event.end is not None:
             job.started = True
         if event.end is RunEnd.DONE:
@@ -158,6 +160,25 @@
                 return
         job.return_task(task)
 
+    def _trace_run(
+        self, job: ScheduledJob, event: RunFinished, board: InstanceBoard
+    ) -> None:
+        if job.span is None:
+            return
+        run = event.run
+        record_span(
+            board,
+            child_span(job.span, board),
+            job.span,
+            "run",
+            run.sent_at,
+            job=job.job_id,
+            task=run.task,
+            number=run.number,
+            runner=run.runner_id,
+            end=event.end.value if event.end else "not begun",
+        )
+
     def _learn(
         self, job: ScheduledJob, task: ScheduledTask, run: Run, board: InstanceBoard
     ) -> None:
@@ -332,6 +353,10 @@
         job.offered = True
         if job.first_start_at < 0:
             job.first_start_at = board.now
+            if job.span is not None:
+                wait = child_span(job.span, board)
+                began = job.accepted_at
+                record_span(board, wait, job.span, "wait", began, job=job.job_id)
         job.note(
             board.now,
             "placed",
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -23,6 +23,7 @@
     QueueState,
     SubmitJob,
 )
+from sassafrasloft.instance.tracing import child_span, record_span
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import RunState
 from sassafrasloft.scheduling.admission import ADMISSIONS, Refusal, waiting_work
@@ -33,6 +34,7 @@
     TaskState,
 )
 from sassafrasloft.scheduling.lateness import CallerPatience
+from sassafrasloft.traces.traceparent import TraceParent
 
 WAIT_TIMER = "scheduling.wait"
 PRUNE_TIMER = "scheduling.prune"
@@ -170,6 +172,9 @@
             repeated=self._patience.note(route, message.age_ms + message.remaining_ms),
             former_revision=message.former_revision,
         )
+        if message.trace_id:
+            job.gateway_span = TraceParent(message.trace_id, message.span_id)
+            job.span = child_span(job.gateway_span, board)
         job.create_tasks()
         job.note(
             board.now,
@@ -319,6 +324,16 @@
         answer = JobAnswer(job.job_id, outcome.value, reason, retry_after_s)
         for stream_id in sorted(job.followers):
             self._send(stream_id, answer, board)
+        if job.span is not None:
+            record_span(
+                board,
+                job.span,
+                job.gateway_span,
+                "schedule",
+                job.accepted_at,
+                job=job.job_id,
+                outcome=outcome.value,
+            )
         self._record(job, outcome, reason, board)
 
     def _record(
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -8,6 +8,7 @@
 from sassafrasloft.instance.messages import JobProgress
 from sassafrasloft.runs import Run
 from sassafrasloft.scheduling.work_rate import WorkRate
+from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, Route, task_name
 
 
@@ -87,6 +88,9 @@
     resubmitted: bool = False
     repeated: bool = False
     """Whether its caller has sent it before, as the time that it still waits tells."""
+    gateway_span: TraceParent | None = None
+    span: TraceParent | None = None
+    """Of the scheduling, under the gateway's; both only if the job is traced."""
     former_revision: int = 0
     """Of the right of the scheduler that had it before; 0 if unknown or acting."""
     trail: list[tuple[Milliseconds, str, str]] = attrs.field(factory=list)
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -24,6 +24,7 @@
     Instance,
     TestJob,
 )
+from sassafrasloft.traces import TraceParent
 from sassafrasloft.workload import (
     JobRequest,
     Resources,
@@ -208,6 +209,7 @@
         route: Route,
         instance: str,
         deadline_ms: Milliseconds = 1_500,
+        trace: TraceParent | None = None,
     ) -> TestJob:
         """Hand a job in at an instance."""
         known = self.jobs.get(job.job_id)
@@ -221,8 +223,9 @@
         known.open += 1
         self.audit.submitted(job.job_id)
         process.requests[request_id] = known
+        path = route.prefix + job.job_id
         event = JobRequested(
-            request_id, route.host, route.prefix + job.job_id, job, deadline_ms
+            request_id, route.host, path, job, deadline_ms, trace=trace
         )
         self.tell(process, event)
         return known
--- a/sassafrasloft/traces/spans.py
+++ b/sassafrasloft/traces/spans.py
@@ -1,22 +1,27 @@
 """Spans and the bounded file that they are written to."""
 
+import functools
 import json
 import os
 from pathlib import Path
 from threading import Lock
+from typing import TYPE_CHECKING, Any
 
 import attrs
-from cattrs import Converter
-from cattrs.errors import BaseValidationError
 from returns.result import Failure, Result, Success
 
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.core import RecordSpan
 from sassafrasloft.errors import MalformedInput
 
+if TYPE_CHECKING:
+    from cattrs import Converter
+
+    from sassafrasloft.core import RecordSpan
+
 MAX_FILE_BYTES = 32_000_000
 MAX_SPANS_READ = 200_000
-_CONVERTER = Converter()
+LOG_EVENT = "span"
+"""The event of log lines that are spans: those of instances without a disk."""
 
 
 @attrs.frozen
@@ -42,7 +47,7 @@
     attributes: tuple[tuple[str, str], ...] = ()
 
 
-def span_of(command: RecordSpan, instance: str) -> Span:
+def span_of(command: "RecordSpan", instance: str) -> Span:
     """Return the span that a command of the decision core describes."""
     values = attrs.asdict(command, recurse=False)
     return Span(instance=instance, **values)
@@ -87,7 +92,7 @@
             start_ms=span.start_ms + self._offset_ms,
             end_ms=span.end_ms + self._offset_ms,
         )
-        line = json.dumps(_CONVERTER.unstructure(shifted)).encode() + b"\n"
+        line = json.dumps(_converter().unstructure(shifted)).encode() + b"\n"
         with self._lock:
             try:
                 self._append(line)
@@ -127,6 +132,8 @@
                     break
                 if not line.endswith("\n"):
                     break
+                if _is_other_log_line(line):
+                    continue
                 span = _span_of_line(line)
                 if span is None:
                     found = f"line {number} is not a span"
@@ -140,7 +147,52 @@
 
 
 def _span_of_line(line: str) -> Span | None:
+    from cattrs.errors import BaseValidationError
+
     try:
-        return _CONVERTER.structure(json.loads(line), Span)
-    except (ValueError, TypeError, KeyError, BaseValidationError, RecursionError):
+        values = json.loads(line)
+        if values.get("event") == LOG_EVENT:
+            values = _span_values(values)
+        return _converter().structure(values, Span)
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError):
+        return None
+    except BaseValidationError:
         return None
+
+
+def _is_other_log_line(line: str) -> bool:
+    """Return whether a line is one of a log and no span."""
+    try:
+        values = json.loads(line)
+    except (ValueError, RecursionError):
+        return False
+    return isinstance(values, dict) and values.get("event", LOG_EVENT) != LOG_EVENT
+
+
+def _span_values(line: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields of a span that an instance wrote into its log."""
+    end = round(line["time"] * 1_000)
+    known = ("time", "level", "event", "instance", "dropped_lines")
+    fields = ("trace", "span", "parent", "name", "duration_ms")
+    return {
+        "trace_id": line["trace"],
+        "span_id": line["span"],
+        "parent_id": line["parent"],
+        "name": line["name"],
+        "start_ms": end - line["duration_ms"],
+        "end_ms": end,
+        "instance": line["instance"],
+        "attributes": [
+            (name, str(value))
+            for name, value in line.items()
+            if name not in known and name not in fields
+        ],
+    }
+
+
+@functools.cache
+def _converter() -> "Converter":
+    # Instances on a platform import this package, but read and write no span files.
+    from cattrs import Converter
+
+    return Converter()
