Let a scheduler go on for its zone while that is cut off

In a cut with resets it went on all the time. Change: it goes on if most instances of its zone follow.

--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -173,6 +173,13 @@
         """Return whether more than half of the known instances follow."""
         return (len(self.connected(board)) + 1) * 2 > len(board.rights.roster)
 
+    def has_zone_quorum(self, board: InstanceBoard) -> bool:
+        """Return whether more than half of the own zone's instances follow."""
+        zone = board.settings.zone
+        present = 1 + sum(one.zone == zone for one in self.connected(board))
+        known = sum(one.zone == zone for one in board.rights.roster)
+        return present * 2 > known
+
     def successor(self, board: InstanceBoard) -> StreamState | None:
         """Return the follower that is to schedule next."""
         cores = {one.name: one.cores for one in board.rights.roster}
--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -162,7 +162,7 @@
         board.set_timer(KEEP_TIMER, board.tuning.right_renewal_ms)
         unconfirmed = board.now - rights.lease_confirmed_at
         expired = unconfirmed > board.tuning.right_lease_ms
-        if expired and not self._followers.has_quorum(board):
+        if expired and not self._is_followed(board):
             self._step_down("neither the store nor most instances answer", board)
             # The others have been missing for longer than that already.
             self._search.since -= board.tuning.acting_delay_ms
@@ -173,6 +173,15 @@
             timeout = board.tuning.store_timeout_ms
             board.emit(CallStore(self._keep_call, operation, timeout))
 
+    def _is_followed(self, board: InstanceBoard) -> bool:
+        """Return whether enough instances follow to go on without the store.
+
+        In a zone that is cut off the right goes on being used on the zone's runners:
+        another scheduler has higher tokens, but does not reach them.
+        """
+        followers = self._followers
+        return followers.has_quorum(board) or followers.has_zone_quorum(board)
+
     def _take_kept(self, reply: StoreReply, board: InstanceBoard) -> None:
         if isinstance(reply, LeaseGranted):
             board.rights.lease_confirmed_at = board.now
--- a/sassafrasloft/testing/fleet/tests/test_cuts.py
+++ b/sassafrasloft/testing/fleet/tests/test_cuts.py
@@ -237,3 +237,36 @@
         for entry in entries:
             world.register(entry)
         world.run(2_000)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_scheduler_in_a_cut_zone_goes_on_for_its_zone(seed):
+    """Guards against a pause in which a zone that has its scheduler serves nothing.
+
+    It gave up its right after two seconds without the store, failed the jobs that it
+    had, and acted as scheduler a quarter of a second later.
+    """
+    world = settled_world(seed=seed)
+    zone = zone_of(world, scheduler_of(world))
+    inside = [name for name, one in world.instances.items() if one.zone == zone]
+    cut_zone(world, zone, True)
+    world.run(1_500)
+    jobs = []
+    for number in range(60):
+        jobs.append(submit_lookup(world, number, inside[number % len(inside)]))
+        world.run(40)
+    world.run(300)
+    assert all(completed(job) for job in jobs)
+    world.cut = lambda one, other: False
+    world.run(1_000)
+    scheduler_of(world)
+
+
+def test_a_scheduler_that_is_cut_off_alone_gives_up():
+    """Guards against a second scheduler that nobody but its own callers follows."""
+    world = settled_world()
+    old = scheduler_of(world)
+    world.cut = lambda one, other: old in (one, other)
+    world.run(3_500)
+    assert world.instances[old].core.board.rights.role is not Role.SCHEDULING
+    assert not world.instances[old].ready
