Split the scheduling controller by subject

Cause: SchedulingController inherited from JobKeeper and placed tasks, kept jobs and wrote their outcome in two files of 350 lines that called into each other. Change: TaskPlacer (placing.py) places and refuses, JobKeeper keeps jobs and adopts runs, outcomes.py records how jobs end; the controller composes them and handles events. Tests that break checks on purpose patch the new places. Conclusion: no change of behaviour.

--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -1,6 +1,5 @@
 """Takes jobs, keeps them while they are open, and answers."""
 
-from sassafrasloft.blackboard import Controller
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import SendMessage
@@ -23,10 +22,10 @@
     QueueState,
     SubmitJob,
 )
-from sassafrasloft.instance.tracing import child_span, record_span
+from sassafrasloft.instance.tracing import child_span
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import RunState
-from sassafrasloft.scheduling.admission import ADMISSIONS, Refusal, waiting_work
+from sassafrasloft.scheduling.admission import Admission, Refusal, waiting_work
 from sassafrasloft.scheduling.jobs import (
     JobOutcome,
     ScheduledJob,
@@ -34,6 +33,7 @@
     TaskState,
 )
 from sassafrasloft.scheduling.lateness import CallerPatience
+from sassafrasloft.scheduling.outcomes import record_outcome
 from sassafrasloft.traces.traceparent import TraceParent
 
 WAIT_TIMER = "scheduling.wait"
@@ -45,22 +45,23 @@
 """Period of forgetting old answers, in milliseconds."""
 
 
-class JobKeeper(Controller):
+class JobKeeper:
     """Jobs from submission to answer.
 
     Parameters
     ----------
-    admission : str
-        Name of a policy.
+    admission : Admission
+        Which jobs are refused on arrival.
     """
 
-    def __init__(self, admission: str = "while_in_time") -> None:
-        self._admission = ADMISSIONS.create(admission)
+    def __init__(self, admission: Admission) -> None:
+        self._admission = admission
         self._patience = CallerPatience()
 
-    def _take_message(
+    def take_message(
         self, stream_id: int, message: Message, board: InstanceBoard
     ) -> None:
+        """Handle what an instance asks of its scheduler."""
         if isinstance(message, Handover):
             self._take_handover(message, board)
             return
@@ -154,7 +155,7 @@
         if not job.offered and not job.resubmitted:
             refusal = self._admission.on_arrival(job, board)
         if refusal is not None:
-            self._refuse(job, refusal, board)
+            self.refuse(job, refusal, board)
 
     def _create_job(
         self, message: SubmitJob, route: object, board: InstanceBoard
@@ -199,7 +200,7 @@
             if job.job_id not in board.jobs.open:
                 return
         for task in list(job.waiting):
-            self._adopt_if_running(job, task, board)
+            self.adopt_if_running(job, task, board)
 
     def _take_progress(
         self, job: ScheduledJob, progress: JobProgress, board: InstanceBoard
@@ -214,10 +215,10 @@
                 job.offered = True
                 job.started = True
                 if job.finish_task(task):
-                    self._end(job, JobOutcome.COMPLETED, "inherited", board)
+                    self.end(job, JobOutcome.COMPLETED, "inherited", board)
                     return
 
-    def _adopt_if_running(
+    def adopt_if_running(
         self, job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
     ) -> None:
         """Take over a run of an earlier scheduler unless it is being stopped."""
@@ -246,12 +247,12 @@
         if job is not None:
             job.followers.discard(stream_id)
             if message.wants_answer or not job.followers:
-                self._end(job, JobOutcome.CANCELLED, "cancelled", board)
+                self.end(job, JobOutcome.CANCELLED, "cancelled", board)
                 state = JobOutcome.CANCELLED.value
         if message.wants_answer:
             self._send(stream_id, JobState(message.job_id, state), board)
 
-    def _drop_follower(self, event: FollowerLost, board: InstanceBoard) -> None:
+    def drop_follower(self, event: FollowerLost, board: InstanceBoard) -> None:
         """Stop jobs of an instance that may have handed them to another scheduler.
 
         A stream that was reset may be opened again at once; its end does not show
@@ -264,12 +265,12 @@
             if job.followers:
                 continue
             if event.silent:
-                self._end(job, JobOutcome.CANCELLED, "its instance is silent", board)
+                self.end(job, JobOutcome.CANCELLED, "its instance is silent", board)
             else:
                 job.unfollowed_since = board.now
                 board.set_timer(UNFOLLOWED_TIMER, board.tuning.silence_ms)
 
-    def _end_unfollowed(self, board: InstanceBoard) -> None:
+    def end_unfollowed(self, board: InstanceBoard) -> None:
         """Stop jobs that no instance has handed in again after its stream ended."""
         latest = board.now - board.tuning.silence_ms
         waiting = False
@@ -277,15 +278,14 @@
             if job.followers or job.unfollowed_since < 0:
                 continue
             if job.unfollowed_since <= latest:
-                self._end(job, JobOutcome.CANCELLED, "its instance is gone", board)
+                self.end(job, JobOutcome.CANCELLED, "its instance is gone", board)
             else:
                 waiting = True
         if waiting:
             board.set_timer(UNFOLLOWED_TIMER, CHECK_MS)
 
-    def _refuse(
-        self, job: ScheduledJob, refusal: Refusal, board: InstanceBoard
-    ) -> None:
+    def refuse(self, job: ScheduledJob, refusal: Refusal, board: InstanceBoard) -> None:
+        """End a job that has not run with a refusal; one that may have, without."""
         if job.resubmitted or job.started:
             outcome = JobOutcome.MAY_HAVE_RUN
         else:
@@ -298,9 +298,9 @@
                 never_ran,
                 f"job {job.job_id} has begun",
             )
-        self._end(job, outcome, refusal.reason, board, refusal.retry_after_s)
+        self.end(job, outcome, refusal.reason, board, refusal.retry_after_s)
 
-    def _end(
+    def end(
         self,
         job: ScheduledJob,
         outcome: JobOutcome,
@@ -308,6 +308,7 @@
         board: InstanceBoard,
         retry_after_s: int = 0,
     ) -> None:
+        """End a job: stop its runs and tell all that wait for the answer."""
         board.auditor.check(
             InstanceInvariant.ANSWERS_ARE_WHOLE,
             outcome is not JobOutcome.COMPLETED
@@ -324,57 +325,10 @@
         answer = JobAnswer(job.job_id, outcome.value, reason, retry_after_s)
         for stream_id in sorted(job.followers):
             self._send(stream_id, answer, board)
-        if job.span is not None:
-            record_span(
-                board,
-                job.span,
-                job.gateway_span,
-                "schedule",
-                job.accepted_at,
-                job=job.job_id,
-                outcome=outcome.value,
-            )
-        self._record(job, outcome, reason, board)
-
-    def _record(
-        self,
-        job: ScheduledJob,
-        outcome: JobOutcome,
-        reason: str,
-        board: InstanceBoard,
-    ) -> None:
-        duration = board.now - job.arrived_at
-        board.count(f"jobs_{outcome.value}")
-        board.measure(f"job_{outcome.value}", duration)
-        if job.first_start_at >= 0:
-            waited = job.first_start_at - job.arrived_at
-            board.measure(f"waiting_priority_{job.priority}", waited)
-            ran = board.now - job.first_start_at
-            board.measure(f"running_priority_{job.priority}", ran)
-        failed = outcome is not JobOutcome.COMPLETED
-        late = duration > job.objective_ms
-        if failed or late:
-            for at, event, detail in job.trail:
-                board.log_request(
-                    f"job_{event}",
-                    failed=True,
-                    job=job.job_id,
-                    detail=detail,
-                    ago_ms=board.now - at,
-                )
-        board.log_request(
-            "job_ended",
-            failed=failed or late,
-            job=job.job_id,
-            route=job.route.name,
-            outcome=outcome.value,
-            reason=reason,
-            duration_ms=duration,
-            objective_ms=round(job.objective_ms),
-            starts=sum(task.starts for task in job.tasks.values()),
-        )
+        record_outcome(job, outcome, reason, board)
 
-    def _prune(self, board: InstanceBoard) -> None:
+    def prune(self, board: InstanceBoard) -> None:
+        """Forget answers that no caller asks for any more."""
         if not board.pool.active:
             return
         board.set_timer(PRUNE_TIMER, PRUNE_MS)
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -166,3 +166,10 @@
     new_work: WorkRate = attrs.field(factory=WorkRate)
     """Work of jobs that can be in time, as it arrives."""
     changed: bool = False
+
+    def forget(self) -> None:
+        """Forget open jobs: another instance schedules them now."""
+        self.open.clear()
+        self.inherited.clear()
+        self.handed_over.clear()
+        self.predecessor_known = False
--- a/sassafrasloft/testing/fleet/tests/test_invariants_fire.py
+++ b/sassafrasloft/testing/fleet/tests/test_invariants_fire.py
@@ -9,8 +9,12 @@
 from sassafrasloft.metadata.adoption import ConfigurationState
 from sassafrasloft.runs import RunnerPool
 from sassafrasloft.scheduling import ScheduledJob
+from sassafrasloft.scheduling.admission import WhileInTime
 from sassafrasloft.scheduling.controller import SchedulingController
-from sassafrasloft.scheduling.placement import Candidate
+from sassafrasloft.scheduling.job_keeping import JobKeeper
+from sassafrasloft.scheduling.ordering import InTimeFirst
+from sassafrasloft.scheduling.placement import BestFit, Candidate
+from sassafrasloft.scheduling.placing import TaskPlacer
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin
 from sassafrasloft.testing.fleet import PromiseBroken
 from sassafrasloft.testing.fleet.tests.situations import (
@@ -57,9 +61,7 @@
 
 def test_a_false_not_run_is_noticed(monkeypatch):
     """The scheduler's own check sees a refusal of a job that has begun."""
-    monkeypatch.setattr(
-        SchedulingController, "_limit_of", lambda self, job, board: board.now
-    )
+    monkeypatch.setattr(TaskPlacer, "_limit_of", lambda self, job, board: board.now)
     monkeypatch.setattr(
         SchedulingController, "_take_accepted", lambda self, run, board: None
     )
@@ -86,9 +88,8 @@
     with pytest.raises(InvariantViolated, match="one_run_at_a_time"):
         board.pool.live_runs[task.name] = task.run
         job.return_task(task)
-        controller = SchedulingController()
-        monkeypatch.setattr(SchedulingController, "_place_tasks", place_without_looking)
-        controller._place_all(board)
+        monkeypatch.setattr(TaskPlacer, "_place_tasks", place_without_looking)
+        placer().place_all(board)
 
 
 def test_a_start_after_an_end_is_noticed():
@@ -101,7 +102,7 @@
     job.finish_task(task)
     offer = Candidate(next(iter(board.pool.runners.values())), 1.0)
     with pytest.raises(InvariantViolated, match="starts_at_most_once"):
-        SchedulingController()._start(job, task, offer, board)
+        placer()._start(job, task, offer, board)
 
 
 def test_a_partial_answer_is_noticed(monkeypatch):
@@ -144,6 +145,12 @@
         world.run(4_000)
 
 
+def placer():
+    """Return a placer with the policies that are the default."""
+    admission = WhileInTime()
+    return TaskPlacer(JobKeeper(admission), admission, InTimeFirst(), BestFit())
+
+
 def place_without_looking(self, job, offers, latest_end, board):
     for task in list(job.waiting):
         self._start(job, task, offers[0], board)
