--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -22,8 +22,9 @@
     start_timeout_ms: Milliseconds = 30
     """A round trip is under 5. A start without an answer is stopped, which is cheap,
     so that the task can start elsewhere before a short job is late."""
-    order_timeout_ms: Milliseconds = 100
-    """For stops, and twice this for looks; longer means a runner out of reach."""
+    order_timeout_ms: Milliseconds = 40
+    """For stops, and twice this for looks. A round trip is under 5; a stop whose answer
+    is lost is sent again, and its task waits meanwhile."""
     hold_slack_ms: Milliseconds = 80
     """How late the answer to a waiting hold may be."""
     late_end_factor: float = 1.25
