Look only at waiting jobs and at changed runners while placing

A profile of the scheduler's core at 420 jobs a second on 177 runners shows the placing of tasks and sums over all open jobs and all runners. Change: work ahead looks at jobs that wait; the most room left is determined again only after a start on the runner that had it. Conclusion: the same decisions with less work.

--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -160,7 +160,7 @@
     ahead = sum(
         waiting_work(one, board)
         for one in board.jobs.open.values()
-        if one is not job and goes_before(one, job, board.now)
+        if one.waiting and one is not job and goes_before(one, job, board.now)
     )
     return ahead / room
 
--- a/sassafrasloft/scheduling/placing.py
+++ b/sassafrasloft/scheduling/placing.py
@@ -160,8 +160,10 @@
                 continue
             offer = self._placement.choose(offers, job, task, latest_end, board.now)
             if offer is not None:
+                was_largest = offer.view.free.millicores == largest
                 self._start(job, task, offer, board)
-                largest = max(one.view.free.millicores for one in offers)
+                if was_largest:
+                    largest = max(one.view.free.millicores for one in offers)
 
     def _start(
         self,
