Keep the sums of a pass over waiting jobs, and space passes by their cost

Cause: for each event the scheduler went through all waiting jobs, and for each of these through all runners (largest free room, room of the service), and for each arrival and each refusal through all open jobs. The work of one event grew with runners times waiting jobs, so that a backlog fed itself. Class of fault: work for each event that grows with the backlog.

Change: waiting work is summed by class in each pass and added to on arrival (Backlog); runners of a pass are sorted by free room (FreeRoom), so that a task is placed by bisection; sort keys, limits and the smallest demand are kept with the job; whether runs of an earlier scheduler are possible is decided once a pass; the next pass waits 1 ms for each 80 jobs and runners that one looked at, at most 10 ms. Waiting work now counts for its own service only.

test_invariants_fire hands views instead of candidates to the placer; its checks are as they were.

--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -11,9 +11,8 @@
 import attrs
 
 from sassafrasloft.instance.board import InstanceBoard
-from sassafrasloft.scheduling.earlier_runs import startable_tasks
 from sassafrasloft.scheduling.jobs import ScheduledJob
-from sassafrasloft.scheduling.lateness import goes_before
+from sassafrasloft.scheduling.lateness import is_late
 from sassafrasloft.scheduling.registry import PolicyRegistry
 
 _SECOND_MS = 1_000
@@ -104,8 +103,10 @@
         self, job: ScheduledJob, work_ahead: float, board: InstanceBoard
     ) -> Refusal | None:
         """Refuse a late job once new ones have taken the room that it waited for."""
+        if not job.repeated:
+            return None
         room = _capacity(job.route.service, board)
-        if not (job.repeated and room):
+        if not room:
             return None
         return self._on_wait(job, work_ahead / room, board)
 
@@ -154,32 +155,16 @@
 
 def expected_wait_ms(job: ScheduledJob, board: InstanceBoard) -> float:
     """Return how long the runners are busy with waiting work that goes first."""
-    room = _capacity(job.route.service, board)
+    service = job.route.service
+    room = _capacity(service, board)
     if not room:
         return 0.0
-    ahead = sum(
-        waiting_work(one, board)
-        for one in board.jobs.open.values()
-        if one.waiting and one is not job and goes_before(one, job, board.now)
-    )
-    return ahead / room
-
-
-def waiting_work(job: ScheduledJob, board: InstanceBoard) -> float:
-    """Return the millicore-milliseconds of a job's tasks that wait for room."""
-    steps = job.request.steps
-    return sum(
-        steps[task.step].demand.millicores * steps[task.step].estimate_ms
-        for task in startable_tasks(job, board)
-    )
+    late = is_late(job, board.now)
+    return board.jobs.backlog.ahead(service, late, job.priority) / room
 
 
 def _capacity(service: str, board: InstanceBoard) -> int:
-    return sum(
-        view.entry.capacity.millicores
-        for view in board.pool.runners.values()
-        if view.entry.service == service and view.unanswered == 0
-    )
+    return board.jobs.backlog.room(service, board.pool, board.now)
 
 
 def _share_left(service: str, board: InstanceBoard) -> float:
@@ -191,8 +176,7 @@
 
 def retry_after_s(board: InstanceBoard) -> int:
     """Return when a refused caller may come back: once the waiting work is done."""
-    services = {job.route.service for job in board.jobs.open.values()}
-    room = sum(_capacity(service, board) for service in services)
-    waiting = sum(waiting_work(job, board) for job in board.jobs.open.values())
-    seconds = math.ceil(waiting / room / _SECOND_MS) if room else 0
+    backlog = board.jobs.backlog
+    room = backlog.total_room(board.pool, board.now)
+    seconds = math.ceil(backlog.total() / room / _SECOND_MS) if room else 0
     return max(board.tuning.shortest_retry_after_s, seconds)
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -1,6 +1,7 @@
 """Takes jobs and the ends of their runs, and lets waiting tasks be placed."""
 
 from sassafrasloft.blackboard import Controller, Event, TimerFired
+from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
@@ -29,6 +30,13 @@
 from sassafrasloft.scheduling.placing import TaskPlacer
 from sassafrasloft.scheduling.stragglers import worth_moving
 
+PASS_TIMER = "scheduling.pass"
+LOOKS_A_MS = 80
+"""Jobs and runners that one pass may look at for each millisecond until the next one:
+a look takes 1 to 5 microseconds, so that passes take less than half of a processor."""
+LONGEST_PAUSE_MS = 10
+"""Between passes: a sixth of the time in which the shortest jobs may wait."""
+
 
 @CONTROLLERS.register("scheduling", order=50)
 class SchedulingController(Controller):
@@ -65,6 +73,8 @@
             ORDERS.create(order),
             PLACEMENTS.create(placement),
         )
+        self._next_pass_at: Milliseconds = 0
+        self._pass_timer_set = False
 
     def react(self, event: Event, board: InstanceBoard) -> None:
         """Handle jobs, ends of runs and changes of the right."""
@@ -80,6 +90,8 @@
             if event.name == WAIT_TIMER:
                 self._placer.note_timer()
                 board.jobs.changed = True
+            elif event.name == PASS_TIMER:
+                self._pass_timer_set = False
             elif event.name == PRUNE_TIMER:
                 self._keeper.prune(board)
             elif event.name == UNFOLLOWED_TIMER:
@@ -88,6 +100,7 @@
             self._keeper.drop_follower(event, board)
         elif isinstance(event, RightLost):
             board.jobs.forget()
+            self._next_pass_at = 0
         elif isinstance(event, RightGained):
             board.set_timer(PRUNE_TIMER, PRUNE_MS)
 
@@ -97,9 +110,16 @@
             return
         if not (board.jobs.changed or board.pool.changed):
             return
+        if board.now < self._next_pass_at:
+            if not self._pass_timer_set:
+                self._pass_timer_set = True
+                board.set_timer(PASS_TIMER, self._next_pass_at - board.now)
+            return
         board.jobs.changed = False
         board.pool.changed = False
-        self._placer.place_all(board)
+        looks = self._placer.place_all(board)
+        pause = min(LONGEST_PAUSE_MS, looks // LOOKS_A_MS)
+        self._next_pass_at = board.now + pause
 
     def _job_and_task(
         self, run: Run, board: InstanceBoard
--- a/sassafrasloft/scheduling/earlier_runs.py
+++ b/sassafrasloft/scheduling/earlier_runs.py
@@ -5,27 +5,39 @@
 """
 
 from sassafrasloft.instance.board import InstanceBoard
-from sassafrasloft.scheduling.jobs import ScheduledJob, ScheduledTask
+from sassafrasloft.scheduling.jobs import ScheduledJob
 
 
-def may_start(job: ScheduledJob, board: InstanceBoard) -> bool:
-    """Return whether no earlier scheduler can still have runs of a job.
+def earlier_runs_possible(board: InstanceBoard) -> bool:
+    """Return whether runners may have runs that only an earlier scheduler knows.
 
-    A runner that has not answered may go on with them until its leases end.
+    A runner that has not answered may go on with them until their leases end.
     """
-    if not job.resubmitted or board.jobs.predecessor_known:
-        return True
     tuning = board.tuning
     regained = board.configuration.store_regained_at
     if 0 <= board.now - regained < tuning.missing_grace_ms and regained >= 0:
         # Runners that lost their entries may not be known yet.
-        return False
+        return True
     lapse = tuning.lease_ms + tuning.lapse_margin_ms
-    return not board.pool.unknown_runs_possible(board.now, lapse + tuning.silence_ms)
+    return board.pool.unknown_runs_possible(board.now, lapse + tuning.silence_ms)
+
+
+def may_start(job: ScheduledJob, board: InstanceBoard) -> bool:
+    """Return whether no earlier scheduler can still have runs of a job."""
+    if not job.resubmitted or board.jobs.predecessor_known:
+        return True
+    return not board.jobs.earlier_runs_possible
 
 
-def startable_tasks(job: ScheduledJob, board: InstanceBoard) -> list[ScheduledTask]:
-    """Return the waiting tasks that may start as soon as there is room."""
+def waiting_work(job: ScheduledJob, board: InstanceBoard) -> float:
+    """Return the millicore-milliseconds of tasks that may start given room."""
     if not job.waiting or not may_start(job, board):
-        return []
-    return [task for task in job.waiting if task.not_before <= board.now]
+        return 0.0
+    if not job.held_back:
+        return job.waiting_work
+    steps = job.request.steps
+    return sum(
+        steps[task.step].demand.millicores * steps[task.step].estimate_ms
+        for task in job.waiting
+        if task.not_before <= board.now
+    )
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -25,14 +25,15 @@
 from sassafrasloft.instance.tracing import child_span
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import RunState
-from sassafrasloft.scheduling.admission import Admission, Refusal, waiting_work
+from sassafrasloft.scheduling.admission import Admission, Refusal
+from sassafrasloft.scheduling.earlier_runs import waiting_work
 from sassafrasloft.scheduling.jobs import (
     JobOutcome,
     ScheduledJob,
     ScheduledTask,
     TaskState,
 )
-from sassafrasloft.scheduling.lateness import CallerPatience
+from sassafrasloft.scheduling.lateness import CallerPatience, is_late
 from sassafrasloft.scheduling.outcomes import record_outcome
 from sassafrasloft.traces.traceparent import TraceParent
 
@@ -148,14 +149,18 @@
         board.count("jobs_taken")
         settled = message.former_revision in board.jobs.handed_over
         self._inherit(job, 0 if settled else message.settle_ms, board)
+        work = waiting_work(job, board)
+        service = job.route.service
         if not job.repeated:
-            work = waiting_work(job, board)
-            board.jobs.new_work.note(job.route.service, work, board.now)
+            board.jobs.new_work.note(service, work, board.now)
         refusal = None
         if not job.offered and not job.resubmitted:
             refusal = self._admission.on_arrival(job, board)
         if refusal is not None:
             self.refuse(job, refusal, board)
+        else:
+            late = is_late(job, board.now)
+            board.jobs.backlog.add(service, late, job.priority, work)
 
     def _create_job(
         self, message: SubmitJob, route: object, board: InstanceBoard
@@ -193,8 +198,9 @@
         """Go on from what an earlier scheduler did for the job."""
         progress = board.jobs.inherited.pop(job.job_id, None)
         if progress is None:
-            for task in job.tasks.values():
-                task.not_before = board.now + settle_ms
+            if settle_ms:
+                for task in job.tasks.values():
+                    job.hold_back(task, board.now + settle_ms)
         else:
             self._take_progress(job, progress, board)
             if job.job_id not in board.jobs.open:
@@ -208,7 +214,7 @@
         settle = board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
         for name in progress.running:
             if name in job.tasks:
-                job.tasks[name].not_before = board.now + settle
+                job.hold_back(job.tasks[name], board.now + settle)
         for name in progress.done:
             task = job.tasks.get(name)
             if task is not None and task.state is TaskState.WAITING:
@@ -235,7 +241,7 @@
         task.run = run
         task.starts = max(task.starts, run.number)
         task.state = TaskState.PLACED
-        job.waiting.remove(task)
+        job.end_wait(task)
         job.offered = True
         job.started = True
         board.count("runs_adopted")
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -7,6 +7,7 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.messages import JobProgress
 from sassafrasloft.runs import Run
+from sassafrasloft.scheduling.backlog import Backlog
 from sassafrasloft.scheduling.work_rate import WorkRate
 from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, Route, task_name
@@ -78,6 +79,11 @@
     unfinished: list[int] = attrs.field(factory=list)
     """Tasks not done, by step."""
     waiting: list[ScheduledTask] = attrs.field(factory=list)
+    """Changed by `wait` and `end_wait` only."""
+    waiting_work: float = 0.0
+    """Of the tasks that wait, in millicore-milliseconds, as declared."""
+    held_back: bool = False
+    """Whether runs that are not known here may hold back one of its tasks."""
     offered: bool = False
     """Whether a start of a task was sent to a runner."""
     started: bool = False
@@ -93,8 +99,22 @@
     """Of the scheduling, under the gateway's; both only if the job is traced."""
     former_revision: int = 0
     """Of the right of the scheduler that had it before; 0 if unknown or acting."""
+    late_at: float = attrs.field(init=False)
+    """After this a job that has not begun cannot be in time."""
+    least_millicores: int = 0
+    """The demand of its smallest task that waits."""
+    latest_start: float = -1.0
+    """As admission decided, if it has not begun; -1 before it was asked for."""
+    sort_key: tuple = ()
+    """Its place among the waiting jobs, for as long as the next two fields say."""
+    sort_key_offered: bool = False
+    sort_key_until: float = -1.0
     trail: list[tuple[Milliseconds, str, str]] = attrs.field(factory=list)
 
+    @late_at.default
+    def _default_late_at(self) -> float:
+        return self.arrived_at + self.objective_ms - self.work_ms
+
     @property
     def job_id(self) -> str:
         """The caller's id of the job."""
@@ -121,13 +141,43 @@
                 continue
             after = self.request.steps[task.step].after
             if all(self.unfinished[one] == 0 for one in after):
-                task.state = TaskState.WAITING
-                self.waiting.append(task)
+                self.wait(task)
+
+    def wait(self, task: ScheduledTask) -> None:
+        """Let a task wait for room."""
+        task.state = TaskState.WAITING
+        self.waiting.append(task)
+        self.waiting_work += self._work_of(task)
+        self._find_least()
+
+    def end_wait(self, task: ScheduledTask) -> None:
+        """Take a task that has been given room, or is done, from those that wait."""
+        self.waiting.remove(task)
+        self.waiting_work -= self._work_of(task)
+        self._find_least()
+
+    def _find_least(self) -> None:
+        steps = self.request.steps
+        if len(steps) == 1:
+            self.least_millicores = steps[0].demand.millicores
+        elif self.waiting:
+            self.least_millicores = min(
+                steps[task.step].demand.millicores for task in self.waiting
+            )
+
+    def _work_of(self, task: ScheduledTask) -> float:
+        step = self.request.steps[task.step]
+        return step.demand.millicores * step.estimate_ms
+
+    def hold_back(self, task: ScheduledTask, until: Milliseconds) -> None:
+        """Keep a task from starting while an unknown run of it may be at work."""
+        task.not_before = until
+        self.held_back = True
 
     def finish_task(self, task: ScheduledTask) -> bool:
         """Note a task as done; return whether the job is complete."""
         if task.state is TaskState.WAITING:
-            self.waiting.remove(task)
+            self.end_wait(task)
         task.state = TaskState.DONE
         task.run = None
         self.unfinished[task.step] -= 1
@@ -137,9 +187,8 @@
 
     def return_task(self, task: ScheduledTask) -> None:
         """Let a task wait again after its run is over."""
-        task.state = TaskState.WAITING
         task.run = None
-        self.waiting.append(task)
+        self.wait(task)
 
     def note(self, now: Milliseconds, event: str, detail: str = "") -> None:
         """Keep a decision for the log of this job."""
@@ -165,6 +214,10 @@
     """Whether the scheduler before this one has reported all of its runs."""
     new_work: WorkRate = attrs.field(factory=WorkRate)
     """Work of jobs that can be in time, as it arrives."""
+    backlog: Backlog = attrs.field(factory=Backlog)
+    earlier_runs_possible: bool = False
+    """Whether runners may have runs of an earlier scheduler that are not known here,
+    as of the last pass over the waiting jobs."""
     changed: bool = False
 
     def forget(self) -> None:
@@ -172,4 +225,5 @@
         self.open.clear()
         self.inherited.clear()
         self.handed_over.clear()
+        self.backlog.replace({})
         self.predecessor_known = False
--- a/sassafrasloft/scheduling/lateness.py
+++ b/sassafrasloft/scheduling/lateness.py
@@ -50,10 +50,4 @@
 
 def is_late(job: ScheduledJob, now: Milliseconds) -> bool:
     """Return whether a job that has not begun cannot be in time any more."""
-    return job.repeated or now + job.work_ms > job.arrived_at + job.objective_ms
-
-
-def goes_before(job: ScheduledJob, other: ScheduledJob, now: Milliseconds) -> bool:
-    """Return whether a job gets room before another one that arrives now."""
-    late, other_late = is_late(job, now), is_late(other, now)
-    return (late, job.priority) <= (other_late, other.priority)
+    return job.repeated or now > job.late_at
--- a/sassafrasloft/scheduling/placement.py
+++ b/sassafrasloft/scheduling/placement.py
@@ -6,11 +6,10 @@
 
 from abc import ABC, abstractmethod
 
-import attrs
-
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.runs import RunnerPool, RunnerView
+from sassafrasloft.runs import RunnerView
 from sassafrasloft.runs.health import current_slowness
+from sassafrasloft.scheduling.free_room import FreeRoom
 from sassafrasloft.scheduling.jobs import ScheduledJob, ScheduledTask
 from sassafrasloft.scheduling.registry import PolicyRegistry
 from sassafrasloft.workload import StepRequest
@@ -26,35 +25,18 @@
 """Millicores of remaining room for a runner where the task has failed before."""
 
 
-@attrs.frozen
-class Candidate:
-    """A runner that may get work now."""
-
-    view: RunnerView
-    slowness: float
-
-
-def candidates(pool: RunnerPool, service: str, now: Milliseconds) -> list[Candidate]:
-    """Return the runners of a service that may get work, in a fixed order."""
-    return [
-        Candidate(view, current_slowness(view, now))
-        for view in pool.runners.values()
-        if view.entry.service == service and pool.usable(view, now)
-    ]
-
-
 class Placement(ABC):
     """Chooses a runner."""
 
     @abstractmethod
     def choose(
         self,
-        offers: list[Candidate],
+        room: FreeRoom,
         job: ScheduledJob,
         task: ScheduledTask,
         latest_end: Milliseconds,
         now: Milliseconds,
-    ) -> Candidate | None:
+    ) -> RunnerView | None:
         """Return the runner for a task, or None if none has room."""
 
 
@@ -67,17 +49,17 @@
 
     def choose(
         self,
-        offers: list[Candidate],
+        room: FreeRoom,
         job: ScheduledJob,
         task: ScheduledTask,
         latest_end: Milliseconds,
         now: Milliseconds,
-    ) -> Candidate | None:
+    ) -> RunnerView | None:
         """Return the first runner with room."""
         step = job.request.steps[task.step]
-        for offer in offers:
-            if allowed(offer.view, job, task, step):
-                return offer
+        for view in room:
+            if allowed(view, job, task, step):
+                return view
         return None
 
 
@@ -87,33 +69,35 @@
 
     def choose(
         self,
-        offers: list[Candidate],
+        room: FreeRoom,
         job: ScheduledJob,
         task: ScheduledTask,
         latest_end: Milliseconds,
         now: Milliseconds,
-    ) -> Candidate | None:
+    ) -> RunnerView | None:
         """Return the runner with the least remaining room."""
         step = job.request.steps[task.step]
         millicores = step.demand.millicores
-        best: Candidate | None = None
+        best: RunnerView | None = None
         best_cost = float("inf")
-        for offer in offers:
-            view = offer.view
+        for view in room.at_least(millicores):
             cost = view.free.millicores - millicores
-            if cost < 0 or not allowed(view, job, task, step):
+            if cost >= best_cost:
+                break
+            if not allowed(view, job, task, step):
                 continue
-            if offer.slowness > SLOW:
-                if now + step.estimate_ms * offer.slowness > latest_end:
+            slowness = current_slowness(view, now)
+            if slowness > SLOW:
+                if now + step.estimate_ms * slowness > latest_end:
                     continue
-                cost += SLOW_PENALTY * offer.slowness
+                cost += SLOW_PENALTY * slowness
             if step.preferred_rack and step.preferred_rack not in view.entry.labels:
                 cost += REMOTE_PENALTY
             if view.runner_id in task.failed_on:
                 cost += FAILED_PENALTY
             if cost < best_cost:
                 best_cost = cost
-                best = offer
+                best = view
         return best
 
 
--- a/sassafrasloft/testing/fleet/tests/test_invariants_fire.py
+++ b/sassafrasloft/testing/fleet/tests/test_invariants_fire.py
@@ -13,7 +13,7 @@
 from sassafrasloft.scheduling.controller import SchedulingController
 from sassafrasloft.scheduling.job_keeping import JobKeeper
 from sassafrasloft.scheduling.ordering import InTimeFirst
-from sassafrasloft.scheduling.placement import BestFit, Candidate
+from sassafrasloft.scheduling.placement import BestFit
 from sassafrasloft.scheduling.placing import TaskPlacer
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin
 from sassafrasloft.testing.fleet import PromiseBroken
@@ -100,9 +100,9 @@
     job = next(iter(board.jobs.open.values()))
     task = next(iter(job.tasks.values()))
     job.finish_task(task)
-    offer = Candidate(next(iter(board.pool.runners.values())), 1.0)
+    view = next(iter(board.pool.runners.values()))
     with pytest.raises(InvariantViolated, match="starts_at_most_once"):
-        placer()._start(job, task, offer, board)
+        placer()._start(job, task, view, board)
 
 
 def test_a_partial_answer_is_noticed(monkeypatch):
@@ -151,9 +151,9 @@
     return TaskPlacer(JobKeeper(admission), admission, InTimeFirst(), BestFit())
 
 
-def place_without_looking(self, job, offers, latest_end, board):
+def place_without_looking(self, job, room, latest_end, board):
     for task in list(job.waiting):
-        self._start(job, task, offers[0], board)
+        self._start(job, task, next(iter(room)), board)
 
 
 def test_the_audit_sees_two_runs_that_no_instance_sees(monkeypatch):
