Handle events of connections for a few milliseconds a turn

Cause: each message was handled by the core in the callback that read it, so that timers of the event loop waited for all that had arrived. In an overload the scheduler sent no beats for over 250 ms and was taken for dead.

Change: events pass through event_loop/inbound.py. Since beats are on time now, the age of the oldest event counts as lateness for a scheduler with too little processor (BacklogMeasured).

Without the change of leadership a scheduler with events that wait 80 ms stayed (test_instance_faults.py).

--- a/sassafrasloft/event_loop/http_server.py
+++ b/sassafrasloft/event_loop/http_server.py
@@ -43,6 +43,7 @@
         self._waiting: dict[int, _ServerConnection] = {}
         self._connections: set[_ServerConnection] = set()
         self._last_id = 0
+        self._paused = False
 
     async def listen(self, host: str, port: int) -> None:
         """Bind the address."""
@@ -59,6 +60,12 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def pause_reading(self, paused: bool) -> None:
+        """Read no connections, or read them again."""
+        self._paused = paused
+        for connection in self._connections:
+            connection.pause_reading(paused)
+
     def answer(self, request_id: int, response: HttpResponse) -> None:
         """Answer a request; without effect if its client is gone."""
         connection = self._waiting.pop(request_id, None)
@@ -77,6 +84,8 @@
     def opened(self, connection: "_ServerConnection") -> None:
         """Keep a new connection."""
         self._connections.add(connection)
+        if self._paused:
+            connection.pause_reading(True)
 
     def closed(self, connection: "_ServerConnection", reset: bool) -> None:
         """Forget a connection and the request that waits on it."""
@@ -190,6 +199,13 @@
         else:
             self._wait(self._server.limits.idle_timeout_ms)
 
+    def pause_reading(self, paused: bool) -> None:
+        """Leave what arrives to the operating system, or read it again."""
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun."""
         idle = not self.request_id and not self._target
--- a/sassafrasloft/event_loop/process.py
+++ b/sassafrasloft/event_loop/process.py
@@ -19,6 +19,7 @@
 from sassafrasloft.event_loop.actor import InstanceActor
 from sassafrasloft.event_loop.http_messages import HttpRequest, HttpResponse
 from sassafrasloft.event_loop.http_server import HttpServer
+from sassafrasloft.event_loop.inbound import InboundQueue
 from sassafrasloft.event_loop.log_output import LogOutput
 from sassafrasloft.event_loop.metrics_page import MetricsPage
 from sassafrasloft.event_loop.streams import MessageStreams
@@ -38,12 +39,14 @@
     WriteLog,
 )
 from sassafrasloft.instance.events import (
+    BacklogMeasured,
     CallerGone,
     RunnerReplied,
     StopRequested,
     StoreReplied,
 )
 from sassafrasloft.instance.settings import InstanceSettings
+from sassafrasloft.instance.urgency import is_urgent
 from sassafrasloft.metadata import StoreOperation, StoreReply
 from sassafrasloft.runs import RunnerOrder, RunnerReply
 from sassafrasloft.workload import HttpLimits
@@ -122,6 +125,7 @@
         self._callers = callers
         self.load_settings = load_settings
         self._ready = False
+        self._backlog_ms = 0
         self._exiting = asyncio.Event()
         self.callers_server = HttpServer(self, HttpLimits())
         self._readiness_server = HttpServer(ReadinessPage(self), HttpLimits())
@@ -129,6 +133,7 @@
         loop = asyncio.get_running_loop()
         self._timers = LoopTimers(loop, clock, self._fire)
         self._actor = InstanceActor.start(core, clock, self._carriers())
+        self._inbound = InboundQueue(loop, clock, self._actor.tell, self._pause_reading)
 
     @property
     def ready(self) -> bool:
@@ -141,11 +146,30 @@
         return self._readiness_server
 
     def tell(self, event: Event) -> None:
-        """Hand an event to the core."""
-        self._actor.tell(event)
+        """Hand an event to the core, after those that wait unless it is urgent."""
+        self._inbound.put(event)
 
     def _fire(self, name: str) -> None:
-        self.tell(TimerFired(name))
+        event = TimerFired(name)
+        if is_urgent(event):
+            self._tell_backlog()
+        self.tell(event)
+
+    def _tell_backlog(self) -> None:
+        """Say how long events wait, as long as this is news."""
+        waited_ms = self._inbound.waited_ms()
+        if waited_ms or self._backlog_ms:
+            self._backlog_ms = waited_ms
+            self.tell(BacklogMeasured(waited_ms))
+
+    def _set_timer(self, command: SetTimer) -> None:
+        self._inbound.forget_timer(command.name)
+        self._timers.set(command.name, command.due_ms)
+
+    def _pause_reading(self, paused: bool) -> None:
+        self._log.write("WARNING", "reading_paused", (("paused", paused),))
+        self._streams.pause_reading(paused)
+        self.callers_server.pause_reading(paused)
 
     def _carriers(self) -> dict[type[Command], Callable]:
         streams = self._streams
@@ -160,7 +184,7 @@
             AnswerCaller: lambda one: self.callers_server.answer(
                 one.request_id, self._callers.write(one.answer)
             ),
-            SetTimer: lambda one: self._timers.set(one.name, one.due_ms),
+            SetTimer: self._set_timer,
             SetReadiness: self._set_ready,
             SetHttpLimits: self._set_limits,
             CloseCallers: lambda _: self.callers_server.close_listener(),
--- a/sassafrasloft/event_loop/streams.py
+++ b/sassafrasloft/event_loop/streams.py
@@ -21,6 +21,8 @@
 _MS_IN_SECOND = 1_000
 MAX_UNSENT_BYTES = 8_000_000
 """A receiver that does not read loses its stream."""
+READ_BYTES = 16_384
+"""Taken from a stream at once: some 100 messages, which take 1 ms to decode."""
 INCOMING_IDS = 1 << 40
 """Ids of accepted streams start here, above those that the core gives out."""
 
@@ -34,6 +36,9 @@
         self._opening: dict[int, asyncio.Task] = {}
         self._last_incoming = INCOMING_IDS
         self._server: asyncio.Server | None = None
+        self._paused = False
+        self.buffer = bytearray(READ_BYTES)
+        """For the bytes of one read; shared, since each is handled at once."""
 
     async def listen(self, host: str, port: int) -> None:
         """Bind the address for other instances."""
@@ -89,9 +94,17 @@
         if stream is not None:
             stream.close()
 
+    def pause_reading(self, paused: bool) -> None:
+        """Read no streams, or read them again."""
+        self._paused = paused
+        for stream in self._streams.values():
+            stream.pause_reading(paused)
+
     def attached(self, stream: "_MessageStream") -> None:
         """Keep an open stream."""
         self._streams[stream.stream_id] = stream
+        if self._paused:
+            stream.pause_reading(True)
 
     def detached(self, stream: "_MessageStream") -> None:
         """Tell about a stream that the other side, or a fault, has ended."""
@@ -109,7 +122,7 @@
         return True
 
 
-class _MessageStream(asyncio.Protocol):
+class _MessageStream(asyncio.BufferedProtocol):
     """One connection with messages in both directions."""
 
     def __init__(self, streams: MessageStreams, stream_id: int) -> None:
@@ -123,10 +136,14 @@
         self._transport = transport
         self._streams.attached(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where the next bytes are to be written."""
+        return self._streams.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Hand on each whole message."""
         try:
-            self._unpacker.feed(data)
+            self._unpacker.feed(memoryview(self._streams.buffer)[:nbytes])
             for value in self._unpacker:
                 if not self._streams.received(self, value):
                     self._transport.abort()
@@ -142,6 +159,13 @@
             return
         self._transport.write(data)
 
+    def pause_reading(self, paused: bool) -> None:
+        """Leave what arrives to the operating system, or read it again."""
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def close(self) -> None:
         """Close after what was written is sent."""
         self._transport.close()
--- a/sassafrasloft/event_loop/tests/test_http.py
+++ b/sassafrasloft/event_loop/tests/test_http.py
@@ -185,3 +185,20 @@
         assert b"200" in await asyncio.wait_for(other.readuntil(b"\r\n"), 2)
 
     asyncio.run(scenario())
+
+
+def test_a_paused_server_answers_later_on_old_and_new_connections():
+    """Guards against requests that are read while work is waiting."""
+
+    async def scenario():
+        echo, client = Echo(), HttpClient(2)
+        address = await echo.start()
+        await call(client, address)
+        echo.server.pause_reading(True)
+        calls = [call(client, address) for _ in range(2)]
+        await asyncio.sleep(0.02)
+        assert len(echo.requests) == 1
+        echo.server.pause_reading(False)
+        assert [(await one).status for one in calls] == [200, 200]
+
+    asyncio.run(scenario())
--- a/sassafrasloft/event_loop/tests/test_streams.py
+++ b/sassafrasloft/event_loop/tests/test_streams.py
@@ -82,3 +82,22 @@
         assert events == [StreamOpened(3)]
 
     asyncio.run(scenario())
+
+
+def test_a_paused_stream_is_read_later_and_loses_nothing():
+    """Guards against messages that are dropped, or read, while work is waiting."""
+
+    async def scenario():
+        first, _, second, second_events, address = await pair()
+        first.open(4, address, 500)
+        await until(lambda: second._streams)
+        second.pause_reading(True)
+        for number in range(2_000):
+            first.send(4, Promote(number))
+        await asyncio.sleep(0.02)
+        assert second_events == []
+        second.pause_reading(False)
+        await until(lambda: len(second_events) == 2_000)
+        assert [one.message.revision for one in second_events] == list(range(2_000))
+
+    asyncio.run(scenario())
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -21,6 +21,13 @@
     """The process is to stop without cutting off requests."""
 
 
+@attrs.frozen
+class BacklogMeasured(Event):
+    """How long the oldest event has waited that is not handled yet."""
+
+    waited_ms: Milliseconds
+
+
 @attrs.frozen
 class StoreReplied(Event):
     """Reply to `CallStore`."""
--- /dev/null
+++ b/sassafrasloft/instance/urgency.py
@@ -0,0 +1,35 @@
+"""Events that pass those which wait for the decision core.
+
+Load pattern: more work arrives than a scheduler's processor bears. What keeps the
+instances' belief in each other up to date is little work, and must not be late.
+"""
+
+from sassafrasloft.blackboard import Event, Started, TimerFired
+from sassafrasloft.instance.events import (
+    BacklogMeasured,
+    MessageReceived,
+    StopRequested,
+    StoreReplied,
+)
+from sassafrasloft.instance.messages import Beat, HeardQuery, HeardReply
+from sassafrasloft.leadership.roles import BEAT_TIMER, KEEP_TIMER
+
+_URGENT_EVENTS = (Started, StopRequested, StoreReplied, BacklogMeasured)
+_URGENT_TIMERS = frozenset({BEAT_TIMER, KEEP_TIMER})
+_URGENT_MESSAGES = (HeardQuery, HeardReply)
+
+
+def is_urgent(event: Event) -> bool:
+    """Return whether an event may pass earlier ones.
+
+    A beat with a roster counts only after the welcome before it, so that it stays in
+    its place.
+    """
+    if isinstance(event, MessageReceived):
+        message = event.message
+        if isinstance(message, Beat):
+            return message.roster is None
+        return isinstance(message, _URGENT_MESSAGES)
+    if isinstance(event, TimerFired):
+        return event.name in _URGENT_TIMERS
+    return isinstance(event, _URGENT_EVENTS)
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -5,6 +5,7 @@
 from sassafrasloft.instance.commands import CloseStream, SendMessage, SetReadiness
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
+    BacklogMeasured,
     ConfigurationAdopted,
     ConfigurationOffered,
     GatewayMessage,
@@ -61,6 +62,7 @@
     """Owns `board.rights`."""
 
     handles = (
+        BacklogMeasured,
         Started,
         StoreItemChanged,
         StoreReplied,
@@ -97,6 +99,8 @@
             self._take_opened(event.stream_id, board)
         elif isinstance(event, StreamClosed):
             self._take_closed(event, board)
+        elif isinstance(event, BacklogMeasured):
+            self._backlog_ms = event.waited_ms
         elif isinstance(event, StopRequested):
             self._begin_stop(board)
         elif isinstance(event, Started):
--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -45,7 +45,8 @@
         self._ready = False
         self._beat_at = 0
         self._lateness = 0.0
-        """How late beats are, in milliseconds, smoothed."""
+        """How late beats and other events are, in milliseconds, smoothed."""
+        self._backlog_ms = 0
         self._handed_on_at = 0
         self._handover: Handover | None = None
         """What this instance knew as it ceased to schedule; for the next one."""
@@ -199,10 +200,11 @@
     def _measure_lateness(self, board: InstanceBoard) -> None:
         """Hand over if this instance has too little processor to schedule.
 
+        Beats pass the events that wait, so that the age of these counts as well.
         Load pattern: a machine of the system turns slow.
         """
         tuning = board.tuning
-        late = max(0, board.now - self._beat_at - tuning.beat_ms)
+        late = max(self._backlog_ms, board.now - self._beat_at - tuning.beat_ms)
         self._beat_at = board.now
         self._lateness += (late - self._lateness) / tuning.slow_beats
         if not self.slow(board) or board.rights.role is not Role.SCHEDULING:
@@ -213,7 +215,7 @@
             self._ask_successor(board)
 
     def slow(self, board: InstanceBoard) -> bool:
-        """Return whether this instance's beats come too late."""
+        """Return whether this instance's events are handled too late."""
         return self._lateness > board.tuning.slow_beat_ms
 
     def _begin_stop(self, board: InstanceBoard) -> None:
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -1,5 +1,6 @@
 """Schedulers and instances that are killed, frozen, slow or stopped."""
 
+from sassafrasloft.instance.events import BacklogMeasured
 from sassafrasloft.leadership import Role
 from sassafrasloft.testing.fleet.edges import STORE
 from sassafrasloft.testing.fleet.tests.situations import (
@@ -259,3 +260,23 @@
     jobs = [submit_lookup(world, n, name) for n, name in enumerate(world.instances)]
     world.run(400)
     assert all(completed(job) for job in jobs)
+
+
+def test_a_scheduler_whose_events_wait_hands_over_although_its_beats_are_on_time():
+    """Guards against a slow scheduler that stays because beats pass other events."""
+    world = settled_world()
+    slow = scheduler_of(world)
+    for _ in range(30):
+        world.tell(world.instances[slow], BacklogMeasured(80))
+        world.run(50)
+    assert scheduler_of(world) != slow
+
+
+def test_a_scheduler_whose_events_waited_once_stays():
+    world = settled_world()
+    scheduler = scheduler_of(world)
+    world.tell(world.instances[scheduler], BacklogMeasured(300))
+    world.run(60)
+    world.tell(world.instances[scheduler], BacklogMeasured(0))
+    world.run(1_500)
+    assert scheduler_of(world) == scheduler
