--- a/sassafrasloft/testing/fleet/edges.py
+++ b/sassafrasloft/testing/fleet/edges.py
@@ -37,6 +37,7 @@
     StopRun,
 )
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin
+from sassafrasloft.testing.fleet.processor import Processor
 from sassafrasloft.workload import JobRequest, Route
 
 UPTIME_MS = 5_000_000
@@ -89,6 +90,7 @@
     requests: dict[int, TestJob] = attrs.field(factory=dict)
     log: list[tuple[float, WriteLog]] = attrs.field(factory=list)
     next_stream: int = 1 << 40
+    processor: Processor = attrs.field(factory=Processor)
 
 
 class FleetEdges:
@@ -338,7 +340,34 @@
         if instance.frozen:
             instance.held.append(event)
             return
-        for command in instance.core.step(event, self.now):
+        if self.costs is not None:
+            instance.processor.waiting.append(event)
+            self._work(instance)
+            return
+        self._finish(instance, instance.core.step(event, self.now))
+
+    def _work(self, instance: Instance) -> None:
+        """Handle the next waiting event; its commands follow once it is handled."""
+        processor = instance.processor
+        if processor.busy or not processor.waiting:
+            return
+        event = processor.waiting.popleft()
+        processor.busy = True
+        commands = instance.core.step(event, self.now)
+        duration = self.costs.of(event, commands) / processor.cores
+        processor.busy_ms += duration
+        self.queue.after(duration, lambda: self._end_work(instance, commands))
+
+    def _end_work(self, instance: Instance, commands: list[Command]) -> None:
+        instance.processor.busy = False
+        if not instance.alive:
+            return
+        self._finish(instance, commands)
+        if not instance.frozen:
+            self._work(instance)
+
+    def _finish(self, instance: Instance, commands: list[Command]) -> None:
+        for command in commands:
             self._carry_out(instance, command)
         board = instance.core.board
         self.audit.used_version(board.incarnation, board.configuration.current.version)
--- /dev/null
+++ b/sassafrasloft/testing/fleet/processor.py
@@ -0,0 +1,68 @@
+"""Processor time of instances in a test fleet."""
+
+from collections import deque
+from collections.abc import Sequence
+
+import attrs
+
+from sassafrasloft.blackboard import Command, Event
+from sassafrasloft.instance.commands import CallRunner, CallStore, SendMessage
+from sassafrasloft.instance.events import JobRequested, MessageReceived, RunnerReplied
+from sassafrasloft.instance.messages import SubmitJob
+
+
+@attrs.frozen
+class WorkCosts:
+    """How long one core is busy with an event and its commands, in milliseconds.
+
+    The defaults are several times those of a real instance, so that few jobs
+    saturate an instance of a test; their ratios follow the number of bytes parsed
+    and written.
+    """
+
+    event_ms: float = 0.1
+    job_request_ms: float = 0.4
+    job_message_ms: float = 0.4
+    runner_reply_ms: float = 0.4
+    runner_call_ms: float = 0.6
+    store_call_ms: float = 0.6
+    message_ms: float = 0.1
+
+    def of(self, event: Event, commands: Sequence[Command]) -> float:
+        """Return the time that one core needs for a step."""
+        if isinstance(event, JobRequested):
+            cost = self.job_request_ms
+        elif isinstance(event, RunnerReplied):
+            cost = self.runner_reply_ms
+        elif isinstance(event, MessageReceived) and isinstance(
+            event.message, SubmitJob
+        ):
+            cost = self.job_message_ms
+        else:
+            cost = self.event_ms
+        return cost + sum(self._of_command(command) for command in commands)
+
+    def _of_command(self, command: Command) -> float:
+        if isinstance(command, CallRunner):
+            return self.runner_call_ms
+        if isinstance(command, CallStore):
+            return self.store_call_ms
+        return self.message_ms if isinstance(command, SendMessage) else 0.0
+
+
+@attrs.define(eq=False)
+class Processor:
+    """The processor of one instance.
+
+    Parameters
+    ----------
+    cores : float
+        How fast it is; events are handled one after the other.
+    """
+
+    cores: float = 1.0
+    busy: bool = False
+    waiting: deque[Event] = attrs.field(factory=deque)
+    """Events that arrived while it was busy, in order."""
+    busy_ms: float = 0.0
+    """Time spent so far."""
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -24,6 +24,7 @@
     Instance,
     TestJob,
 )
+from sassafrasloft.testing.fleet.processor import Processor, WorkCosts
 from sassafrasloft.traces import TraceParent
 from sassafrasloft.workload import (
     JobRequest,
@@ -45,6 +46,12 @@
         In each zone.
     seed : int
     tuning : Tuning, optional
+    capacity : int
+        Of each runner, in millicores.
+    costs : WorkCosts, optional
+        Processor time of the instances' work; none is charged without it.
+    cores : dict, optional
+        Of instances that have not one core, by name.
     """
 
     def __init__(
@@ -54,6 +61,8 @@
         seed: int = 1,
         tuning: Tuning | None = None,
         capacity: int = 32_000,
+        costs: WorkCosts | None = None,
+        cores: dict[str, float] | None = None,
     ) -> None:
         self.queue = EventQueue()
         # A machine has been up for a while when the first process starts.
@@ -63,6 +72,8 @@
         self.store = MetadataStoreStandin()
         self.audit = FleetAudit()
         self.tuning = tuning
+        self.costs = costs
+        self.cores = cores or {}
         self.runners: dict[str, LeaseRunnerStandin] = {}
         self.instances: dict[str, Instance] = {}
         self.jobs: dict[str, TestJob] = {}
@@ -148,7 +159,10 @@
         """Start a process."""
         address = f"address-of-{name}"
         seeds = tuple(one.address for one in list(self.instances.values())[:3])
-        settings = InstanceSettings(name, zone, "", "", address, "", "", seeds=seeds)
+        cores = self.cores.get(name, 1.0)
+        settings = InstanceSettings(
+            name, zone, "", "", address, "", "", cores=cores, seeds=seeds
+        )
         core = create_instance(
             settings,
             self.documents,
@@ -157,7 +171,7 @@
             strict=True,
         )
         self.dark.discard(name)
-        instance = Instance(name, zone, address, core)
+        instance = Instance(name, zone, address, core, processor=Processor(cores))
         self.instances[name] = instance
         self.queue.after(
             self.random.randrange(20), lambda: self.tell(instance, Started())
@@ -195,6 +209,7 @@
         """Resume a process."""
         instance = self.instances[name]
         instance.frozen = False
+        self._work(instance)
         held, instance.held = instance.held, []
         for event in held:
             self.tell(instance, event)
