--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -150,10 +150,15 @@
 @register_message("beat")
 @attrs.frozen
 class Beat(Message):
-    """A sign of life; from the scheduler with the roster if that has changed."""
+    """A sign of life; from the scheduler with the roster if that has changed.
+
+    `late_ms` is how late the sender's timer for it was.
+    """
 
     roster: tuple[RosterEntry, ...] | None = None
 
+    late_ms: Milliseconds = 0
+
 
 @register_message("heard_query")
 @attrs.frozen
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -78,6 +78,9 @@
     silence_ms: Milliseconds = 250
     """Without any message for this long a stream is taken for dead: an instance may
     stand still for 100 when its share of a processor is used up."""
+    busy_silence_ms: Milliseconds = 700
+    """The same for an instance that said how late it is: three standstills of 100 more
+    than `silence_ms`, and still a third of the lease of a right."""
     connect_timeout_ms: Milliseconds = 80
     """A connection takes under 5 between zones."""
     rank_delay_ms: Milliseconds = 30
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -50,6 +50,7 @@
 )
 from sassafrasloft.leadership.search_steps import SchedulerSearch
 from sassafrasloft.leadership.seeking import Search
+from sassafrasloft.leadership.silence import longest_silence
 from sassafrasloft.leadership.state import RightRecord, Role, StreamState
 
 _TO_SCHEDULER = (SubmitJob, CancelJob, QueryJob, QueryQueue)
@@ -128,8 +129,10 @@
             if rights.role is Role.ACTING:
                 self._leave_if_fenced(board)
         elif rights.role is Role.FOLLOWING:
-            board.emit(SendMessage(rights.target, Beat()))
-            if board.now - rights.target_heard_at > board.tuning.silence_ms:
+            beat = Beat(late_ms=rights.late_ms)
+            board.emit(SendMessage(rights.target, beat))
+            silent_ms = board.now - rights.target_heard_at
+            if silent_ms > longest_silence(rights.target_late_ms, board):
                 self._lose_target("silent", True, board)
         self._close_idle(board)
 
@@ -204,8 +207,9 @@
     ) -> None:
         rights = board.rights
         if isinstance(message, Beat):
-            if message.roster is not None and stream.stream_id == rights.target:
-                rights.roster = message.roster
+            stream.late_ms = message.late_ms
+            if stream.stream_id == rights.target:
+                self._take_target_beat(message, board)
         elif isinstance(message, ConfigurationOffer):
             board.post(ConfigurationOffered(message.document))
         elif isinstance(message, RunnersOffer):
@@ -229,6 +233,12 @@
         elif isinstance(message, SchedulerMoved):
             self._take_moved(stream, message, board)
 
+    def _take_target_beat(self, message: Beat, board: InstanceBoard) -> None:
+        rights = board.rights
+        rights.target_late_ms = message.late_ms
+        if message.roster is not None:
+            rights.roster = message.roster
+
     def _take_hello(
         self, stream: StreamState, message: Hello, board: InstanceBoard
     ) -> None:
@@ -263,6 +273,7 @@
         rights.target_heard_at = board.now
         rights.target_acting = message.acting
         rights.target_address = stream.address
+        rights.target_late_ms = 0
         rights.target_zone = message.zone
         rights.base_token = message.token
         searched = board.now - self._search.since if self._search else 0
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -13,6 +13,7 @@
     Welcome,
     ZoneRound,
 )
+from sassafrasloft.leadership.silence import longest_silence
 from sassafrasloft.leadership.state import TOKENS_PER_REVISION, Role, StreamState
 from sassafrasloft.scheduling import ScheduledJob, TaskState
 
@@ -118,11 +119,13 @@
         for stream in list(rights.streams.values()):
             if not stream.follower:
                 continue
-            if board.now - stream.heard_at > board.tuning.silence_ms:
+            silent_ms = board.now - stream.heard_at
+            if silent_ms > longest_silence(stream.late_ms, board):
                 self.drop(stream, True, board)
                 board.emit(CloseStream(stream.stream_id))
             else:
-                board.emit(SendMessage(stream.stream_id, Beat(roster)))
+                beat = Beat(roster, rights.late_ms)
+                board.emit(SendMessage(stream.stream_id, beat))
 
     def _take_back_fenced(self, board: InstanceBoard) -> None:
         """Take back the runners of an acting scheduler that has died."""
--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -204,6 +204,7 @@
         tuning = board.tuning
         late = max(0, board.now - self._beat_at - tuning.beat_ms)
         self._beat_at = board.now
+        board.rights.late_ms = late
         self._lateness += (late - self._lateness) / tuning.slow_beats
         if not self.slow(board) or board.rights.role is not Role.SCHEDULING:
             return
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -14,6 +14,7 @@
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CallStore, OpenStream, SendMessage
 from sassafrasloft.instance.messages import HeardQuery, HeardReply, Hello, RosterEntry
+from sassafrasloft.leadership.silence import longest_silence
 from sassafrasloft.leadership.state import RightRecord, StreamState
 from sassafrasloft.metadata import (
     GrantLease,
@@ -149,7 +150,9 @@
 
 def someone_hears(search: Search, board: InstanceBoard) -> bool:
     """Return whether the scheduler is alive for another instance."""
-    fresh = FRESH_BEATS * board.tuning.beat_ms
+    tuning = board.tuning
+    silence = longest_silence(board.rights.target_late_ms, board)
+    fresh = FRESH_BEATS * tuning.beat_ms + silence - tuning.silence_ms
     return any(
         reply.revision >= board.rights.known_revision and 0 <= reply.silent_ms <= fresh
         for reply in fresh_replies(search, board)
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -83,6 +83,8 @@
     follower: bool = False
     heard_at: Milliseconds = 0
     opened_at: Milliseconds = 0
+    late_ms: Milliseconds = 0
+    """How late the other side's last beat was, by its own account."""
 
 
 @attrs.define(eq=False)
@@ -106,6 +108,10 @@
     target: int = -1
     """The stream to the scheduler; 0 is this instance itself, -1 none."""
     target_heard_at: Milliseconds = 0
+    target_late_ms: Milliseconds = 0
+    """How late the last beat of the newest target was, by its own account."""
+    late_ms: Milliseconds = 0
+    """How late this instance's last beat was."""
     target_acting: bool = False
     """Whether the target is an acting scheduler."""
     target_address: str = ""
