--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -206,6 +206,7 @@
         tuning = board.tuning
         late = max(self._backlog_ms, board.now - self._beat_at - tuning.beat_ms)
         self._beat_at = board.now
+        board.rights.late_ms = late
         self._lateness += (late - self._lateness) / tuning.slow_beats
         if not self.slow(board) or board.rights.role is not Role.SCHEDULING:
             return
