--- a/sassafrasloft/blackboard/decision_core.py
+++ b/sassafrasloft/blackboard/decision_core.py
@@ -31,6 +31,11 @@
             for controller in self._controllers
             if type(controller).before is not Controller.before
         )
+        self._settlers = tuple(
+            controller
+            for controller in self._controllers
+            if type(controller).settle is not Controller.settle
+        )
         self._routes: dict[type[Event], tuple[Controller, ...]] = {}
 
     @property
@@ -69,7 +74,7 @@
             pending = board.take_posted()
             if pending:
                 continue
-            for controller in self._controllers:
+            for controller in self._settlers:
                 controller.settle(board)
             pending = board.take_posted()
             if not pending:
