Let instances refuse what an overloaded scheduler cannot take

Change: beats of the scheduler carry the share of new jobs that an instance may hand in. It falls while two beats in a row are late, not again before the effect can show, and rises by 4% with each beat in time. The instances refuse the rest at once as "not run", evenly for each route; a job that was sent before is always handed in. A successor goes on from the share that it last heard, one that is asked to take over from the share in the request. Conclusion: the limit follows from measured lateness only.

--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -3,6 +3,7 @@
 from sassafrasloft.blackboard import Controller, Event, TimerFired
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.gateway.answers import AnswerKind, CallerAnswer
+from sassafrasloft.gateway.intake import IntakeShare
 from sassafrasloft.gateway.requests import OpenJob
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import AnswerCaller, SendMessage
@@ -68,6 +69,7 @@
         self._checking = False
         self._acting = False
         self._lost_at = 0
+        self._intake = IntakeShare()
 
     def react(self, event: Event, board: InstanceBoard) -> None:
         """Handle requests, answers and changes of the scheduler."""
@@ -142,12 +144,16 @@
         self, event: JobRequested, route: Route, board: InstanceBoard
     ) -> None:
         requests = board.requests
-        requests.job_of[event.request_id] = event.job.job_id
         known = requests.jobs.get(event.job.job_id)
         if known is not None:
+            requests.job_of[event.request_id] = event.job.job_id
             known.requests.add(event.request_id)
             return
         remaining = event.remaining_ms or route.timeout_ms
+        if not self._intake.admits(route, remaining, board.rights.intake_share):
+            self._refuse_at_once(event, board)
+            return
+        requests.job_of[event.request_id] = event.job.job_id
         objective = route.objective_ms(event.job.chain_ms())
         job = OpenJob(event.job, route, board.now, board.now + remaining, objective)
         job.requests.add(event.request_id)
@@ -158,6 +164,18 @@
         board.count("requests_taken")
         self._submit(job, board)
 
+    def _refuse_at_once(self, event: JobRequested, board: InstanceBoard) -> None:
+        board.count("jobs_beyond_intake")
+        board.log_request(
+            "job_beyond_intake",
+            failed=True,
+            job=event.job.job_id,
+            share=round(board.rights.intake_share, 2),
+        )
+        retry = board.tuning.shortest_retry_after_s
+        answer = CallerAnswer(AnswerKind.REFUSED, "the scheduler is overloaded", retry)
+        self._answer(event.request_id, answer, board)
+
     def _submit(self, job: OpenJob, board: InstanceBoard) -> None:
         if self._target == NO_TARGET:
             self._start_checking(board)
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -152,12 +152,13 @@
 class Beat(Message):
     """A sign of life; from the scheduler with the roster if that has changed.
 
-    `late_ms` is how late the sender's timer for it was.
+    `late_ms` is how late the sender's timer for it was. `intake_share` is the share
+    of new jobs that the receiver may hand in to the sender.
     """
 
     roster: tuple[RosterEntry, ...] | None = None
-
     late_ms: Milliseconds = 0
+    intake_share: float = 1.0
 
 
 @register_message("heard_query")
@@ -272,9 +273,13 @@
 @register_message("promote")
 @attrs.frozen
 class Promote(Message):
-    """The scheduler is about to stop: the receiver is to take over the right."""
+    """The scheduler is about to stop: the receiver is to take over the right.
+
+    `intake_share` is the share of new jobs that it is to allow at first.
+    """
 
     revision: int
+    intake_share: float = 1.0
 
 
 @attrs.frozen
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -94,6 +94,12 @@
     """An acting scheduler that is alive gives its runners back within this."""
     absence_ms: Milliseconds = 10_000
     """After this an instance no longer counts towards a majority."""
+    busy_beat_ms: Milliseconds = 20
+    """A scheduler whose beats are later than this has work that waits: a third of the
+    objective of short jobs (60)."""
+    backlog_ms: Milliseconds = 200
+    """Waiting work of this long halves the intake: it is to be gone before short jobs
+    behind it are late twice over."""
     slow_beat_ms: Milliseconds = 40
     """A scheduler whose beats are this late on average has too little processor."""
     slow_beats: int = 10
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -125,6 +125,7 @@
     def _beat(self, board: InstanceBoard) -> None:
         rights = board.rights
         if rights.role in (Role.SCHEDULING, Role.ACTING):
+            self._limit_intake(board)
             self._followers.beat(board)
             if rights.role is Role.ACTING:
                 self._leave_if_fenced(board)
@@ -236,6 +237,7 @@
     def _take_target_beat(self, message: Beat, board: InstanceBoard) -> None:
         rights = board.rights
         rights.target_late_ms = message.late_ms
+        rights.intake_share = message.intake_share
         if message.roster is not None:
             rights.roster = message.roster
 
@@ -271,9 +273,9 @@
         rights.role = Role.FOLLOWING
         rights.target = stream.stream_id
         rights.target_heard_at = board.now
+        rights.target_late_ms = 0
         rights.target_acting = message.acting
         rights.target_address = stream.address
-        rights.target_late_ms = 0
         rights.target_zone = message.zone
         rights.base_token = message.token
         searched = board.now - self._search.since if self._search else 0
@@ -340,6 +342,7 @@
         board.rights.known_revision = max(board.rights.known_revision, message.revision)
         if self._search is None:
             self._search = Search(board.now, "the scheduler is about to stop")
+        self._search.promotion = message
         if not self._search.claim_call:
             seeking.begin_claim(self._search, board)
 
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -14,7 +14,12 @@
     ZoneRound,
 )
 from sassafrasloft.leadership.silence import longest_silence
-from sassafrasloft.leadership.state import TOKENS_PER_REVISION, Role, StreamState
+from sassafrasloft.leadership.state import (
+    TOKENS_PER_REVISION,
+    Rights,
+    Role,
+    StreamState,
+)
 from sassafrasloft.scheduling import ScheduledJob, TaskState
 
 RECONNECT_MS = 1_000
@@ -86,7 +91,7 @@
                 ),
             )
         )
-        board.emit(SendMessage(stream.stream_id, Beat(rights.roster)))
+        board.emit(SendMessage(stream.stream_id, _first_beat(rights)))
         configuration = board.configuration
         if message.configuration_version < configuration.current.version:
             offer = ConfigurationOffer(configuration.document)
@@ -124,7 +129,7 @@
                 self.drop(stream, True, board)
                 board.emit(CloseStream(stream.stream_id))
             else:
-                beat = Beat(roster, rights.late_ms)
+                beat = Beat(roster, rights.late_ms, rights.intake_share)
                 board.emit(SendMessage(stream.stream_id, beat))
 
     def _take_back_fenced(self, board: InstanceBoard) -> None:
@@ -193,6 +198,10 @@
         )
 
 
+def _first_beat(rights: Rights) -> Beat:
+    return Beat(rights.roster, rights.late_ms, rights.intake_share)
+
+
 def handover(board: InstanceBoard) -> Handover:
     """Return what a new scheduler needs to know of jobs and runs.
 
--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -19,6 +19,7 @@
 )
 from sassafrasloft.leadership import seeking
 from sassafrasloft.leadership.followers import Followers, handover
+from sassafrasloft.leadership.intake import IntakeControl
 from sassafrasloft.leadership.seeking import Search
 from sassafrasloft.leadership.state import TOKENS_PER_REVISION, RightRecord, Role
 from sassafrasloft.metadata import KeepLease, LeaseGranted, StoreFailure, StoreReply
@@ -47,6 +48,7 @@
         self._lateness = 0.0
         """How late beats are, in milliseconds, smoothed."""
         self._handed_on_at = 0
+        self._intake = IntakeControl()
         self._handover: Handover | None = None
         """What this instance knew as it ceased to schedule; for the next one."""
 
@@ -75,6 +77,9 @@
             return
         self._announce_to(old_target, record, board)
         self._followers.begin(board)
+        if search is not None and search.promotion is not None:
+            rights.intake_share = search.promotion.intake_share
+        self._intake.begin(rights.intake_share)
         board.post(RightGained(rights.base_token, ""))
         board.post(TargetChanged(OWN_INSTANCE, since=board.now))
 
@@ -145,6 +150,7 @@
         board.log("acting_scheduler", "WARNING", zone=zone, token=token)
         board.count("acting_rights_used")
         self._followers.begin(board)
+        self._intake.begin(rights.intake_share)
         board.post(RightGained(rights.base_token, zone, acting=True))
         board.post(TargetChanged(OWN_INSTANCE, acting=True))
 
@@ -211,7 +217,19 @@
         if board.now - self._handed_on_at > SLOW_RETRY_MS:
             self._handed_on_at = board.now
             board.log("too_slow", "WARNING", beats_late_ms=round(self._lateness))
-            self._ask_successor(board)
+            # The load is one that a faster machine bears.
+            self._ask_successor(1.0, board)
+
+    def _limit_intake(self, board: InstanceBoard) -> None:
+        rights = board.rights
+        before = rights.intake_share
+        self._intake.note_beat(rights.late_ms, board.now, board.tuning)
+        rights.intake_share = self._intake.share
+        if before == 1.0 > rights.intake_share:
+            board.log("intake_limited", "WARNING", beats_late_ms=rights.late_ms)
+            board.count("intake_limits")
+        elif before < 1.0 == rights.intake_share:
+            board.log("intake_unlimited")
 
     def slow(self, board: InstanceBoard) -> bool:
         """Return whether this instance's beats come too late."""
@@ -225,15 +243,15 @@
         rights = board.rights
         if rights.role is not Role.SCHEDULING or not board.stopping.requested:
             return
-        self._ask_successor(board)
+        self._ask_successor(rights.intake_share, board)
         board.set_timer(PROMOTE_TIMER, PROMOTE_RETRY_MS)
 
-    def _ask_successor(self, board: InstanceBoard) -> None:
+    def _ask_successor(self, intake_share: float, board: InstanceBoard) -> None:
         successor = self._followers.successor(board)
         if successor is None:
             return
         board.log("successor_asked", instance=successor.name)
-        promote = Promote(board.rights.known_revision)
+        promote = Promote(board.rights.known_revision, intake_share)
         board.emit(SendMessage(successor.stream_id, promote))
 
     def _begin_search(self, evidence: str, board: InstanceBoard) -> None:
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -13,7 +13,13 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CallStore, OpenStream, SendMessage
-from sassafrasloft.instance.messages import HeardQuery, HeardReply, Hello, RosterEntry
+from sassafrasloft.instance.messages import (
+    HeardQuery,
+    HeardReply,
+    Hello,
+    Promote,
+    RosterEntry,
+)
 from sassafrasloft.leadership.silence import longest_silence
 from sassafrasloft.leadership.state import RightRecord, StreamState
 from sassafrasloft.metadata import (
@@ -60,6 +66,8 @@
     """The revision that the claim replaces: of the holder found to be gone."""
     claim_failed: bool = False
     """Whether the store did not answer the last claim."""
+    promotion: Promote | None = None
+    """What the scheduler said as it asked this instance to take over."""
 
     def turn_to_new_holder(self) -> None:
         """Discard the evidence against the former holder."""
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -112,6 +112,8 @@
     """How late the last beat of the newest target was, by its own account."""
     late_ms: Milliseconds = 0
     """How late this instance's last beat was."""
+    intake_share: float = 1.0
+    """Of new jobs, those that may be handed in to the scheduler."""
     target_acting: bool = False
     """Whether the target is an acting scheduler."""
     target_address: str = ""
--- /dev/null
+++ b/sassafrasloft/leadership/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions about the right to schedule."""
--- a/sassafrasloft/testing/fleet/tests/test_overload.py
+++ b/sassafrasloft/testing/fleet/tests/test_overload.py
@@ -104,9 +104,9 @@
 def test_an_overloaded_scheduler_serves_what_it_can(seed):
     """Guards against an overload in which the processor's time goes into waste.
 
-    One scheduler bears about 43% of this load; half of that is asked for.
+    One scheduler bears about 60% of this load; half of that is asked for.
     """
-    assert share(overload(seed).jobs, is_complete) > 0.21
+    assert share(overload(seed).jobs, is_complete) > 0.3
 
 
 @pytest.mark.parametrize("seed", SEEDS)
