Cut links of the test fleet in one direction, and let streams send again

The fleet's cuts were the same in both directions: replies of runners and of the store were checked against the way of the call. Data sent into a silent cut was lost, while a TCP stream sends it once the cut ends, in order, and the end of the stream after it.

--- a/sassafrasloft/testing/fleet/edges.py
+++ b/sassafrasloft/testing/fleet/edges.py
@@ -25,7 +25,13 @@
     StreamOpened,
 )
 from sassafrasloft.instance.messages import decode_message, encode_message
-from sassafrasloft.metadata import StoreFailure, StoreReply, WatchedChanges, WatchItems
+from sassafrasloft.metadata import (
+    StoreFailure,
+    StoreReply,
+    Transaction,
+    WatchedChanges,
+    WatchItems,
+)
 from sassafrasloft.runs import (
     HoldReply,
     HoldRuns,
@@ -37,6 +43,7 @@
     StopRun,
 )
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin
+from sassafrasloft.testing.event_queue import Action
 from sassafrasloft.workload import JobRequest, Route
 
 UPTIME_MS = 5_000_000
@@ -89,6 +96,8 @@
     requests: dict[int, TestJob] = attrs.field(factory=dict)
     log: list[tuple[float, WriteLog]] = attrs.field(factory=list)
     next_stream: int = 1 << 40
+    unsent: dict[int, list[Action]] = attrs.field(factory=dict)
+    """What waits on streams for the end of a cut, in order."""
 
 
 class FleetEdges:
@@ -122,6 +131,11 @@
             self.queue.after(STORE_MS, lambda: self._at_store(instance, command))
 
     def _at_store(self, instance: Instance, command: CallStore) -> None:
+        writes = isinstance(command.operation, Transaction)
+        if writes and self.random.random() < self.late_writes:
+            delay = self.random.uniform(200, 3_000)
+            self.queue.after(delay, lambda: self._write_late(command))
+            return
         reply = self.store.call(command.operation, self.now)
         if reply is None:
             wait = command.operation.wait_ms
@@ -135,7 +149,11 @@
             reply = StoreFailure("timed_out")
             self._reply_store(instance, command, reply, command.timeout_ms)
         else:
-            self._reply_store(instance, command, reply, STORE_MS)
+            self._send_from_store(instance, command, reply)
+
+    def _write_late(self, command: CallStore) -> None:
+        self.store.call(command.operation, self.now)
+        self._wake_watches()
 
     def _reply_store(
         self,
@@ -149,6 +167,12 @@
             lambda: self.tell(instance, StoreReplied(command.call_id, reply)),
         )
 
+    def _send_from_store(
+        self, instance: Instance, command: CallStore, reply: StoreReply
+    ) -> None:
+        if not self.cut(STORE, instance.name):
+            self._reply_store(instance, command, reply, STORE_MS)
+
     def _wake_watches(self) -> None:
         waiting, self._watches = self._watches, []
         for watch in waiting:
@@ -156,8 +180,8 @@
             reply = self.store.call(command.operation, self.now)
             if reply is None:
                 self._watches.append(watch)
-            elif not (self.store_down or self.cut(instance.name, STORE)):
-                self._reply_store(instance, command, reply, STORE_MS)
+            elif not self.store_down:
+                self._send_from_store(instance, command, reply)
 
     def _end_watch(self, watch: tuple[Instance, CallStore, float]) -> None:
         if watch not in self._watches:
@@ -166,7 +190,7 @@
         instance, command, _ = watch
         after = command.operation.after_revision
         reply = WatchedChanges((), max(after, self.store.revision))
-        if self.store_down or self.cut(instance.name, STORE):
+        if self.store_down or self.cut(STORE, instance.name):
             reply = StoreFailure("timed_out")
         self._reply_store(instance, command, reply, STORE_MS)
 
@@ -239,7 +263,7 @@
     def _send_reply(
         self, instance: Instance, command: CallRunner, reply: RunnerReply
     ) -> None:
-        if self.cut(instance.name, command.runner_id):
+        if self.cut(command.runner_id, instance.name):
             return
         self.queue.after(HOP_MS, lambda: self._runner_replies(instance, command, reply))
 
@@ -263,6 +287,7 @@
             other is None
             or other.frozen
             or self.cut(instance.name, other.name)
+            or self.cut(other.name, instance.name)
             or (not other.alive and other.name in self.dark)
         )
         if silent:
@@ -283,28 +308,52 @@
 
     def _hang_up(self, instance: Instance, stream_id: int) -> None:
         pair = instance.streams.pop(stream_id, None)
-        if pair is None:
-            return
-        other, other_id = pair
-        if not self.cut(instance.name, other.name):
-            self.queue.after(HOP_MS, lambda: self._close(other, other_id))
+        if pair is not None:
+            other, other_id = pair
+            self._transmit(
+                instance, stream_id, other, lambda: self._close(other, other_id)
+            )
 
     def _send(self, instance: Instance, stream_id: int, data: bytes) -> None:
         pair = instance.streams.get(stream_id)
         if pair is None:
             return
         other, other_id = pair
-        if self.cut(instance.name, other.name):
-            return
 
         def arrive() -> None:
             if other_id in other.streams:
                 message = decode_message(msgpack.unpackb(data))
                 self.tell(other, MessageReceived(other_id, message))
 
-        self.queue.after(HOP_MS, arrive)
+        self._transmit(instance, stream_id, other, arrive)
+
+    def _transmit(
+        self, instance: Instance, stream_id: int, other: Instance, arrive: Action
+    ) -> None:
+        """Deliver on a stream, in order; what meets a cut is lost or sent again."""
+        waiting = instance.unsent.get(stream_id)
+        if waiting is not None:
+            waiting.append(arrive)
+        elif not self.cut(instance.name, other.name):
+            self.queue.after(HOP_MS, arrive)
+        elif self.retransmit_ms:
+            instance.unsent[stream_id] = [arrive]
+            self._retransmit_later(instance, stream_id, other)
+
+    def _retransmit_later(
+        self, instance: Instance, stream_id: int, other: Instance
+    ) -> None:
+        def retransmit() -> None:
+            if self.cut(instance.name, other.name):
+                self._retransmit_later(instance, stream_id, other)
+                return
+            for arrive in instance.unsent.pop(stream_id, ()):
+                self.queue.after(HOP_MS, arrive)
+
+        self.queue.after(self.retransmit_ms, retransmit)
 
     def _close(self, instance: Instance, stream_id: int) -> None:
+        instance.unsent.pop(stream_id, None)
         if instance.streams.pop(stream_id, None) is not None:
             self.tell(instance, StreamClosed(stream_id))
 
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -17,7 +17,6 @@
 from sassafrasloft.testing.fleet.auditing import FleetAudit
 from sassafrasloft.testing.fleet.documents import JsonDocuments
 from sassafrasloft.testing.fleet.edges import (
-    HOP_MS,
     SERVICE,
     UPTIME_MS,
     FleetEdges,
@@ -67,10 +66,17 @@
         self.instances: dict[str, Instance] = {}
         self.jobs: dict[str, TestJob] = {}
         self.cut: Callable[[str, str], bool] = lambda one, other: False
-        """Whether two places, named by instance, runner or store, are cut off."""
+        """Whether nothing gets from one place to another.
+
+        Places are named by instance, runner or store.
+        """
         self.store_down = False
         self.lose_replies = 0.0
         """Share of the store's writes whose replies are lost."""
+        self.late_writes = 0.0
+        """Share of transactions that get no answer and are carried out late."""
+        self.retransmit_ms = 0
+        """Period in which streams try again in a cut; 0 if they lose what is sent."""
         self.late_orders = 0.0
         """Share of starts and stops that get no answer and are carried out late."""
         self.timer_delay: dict[str, int] = {}
@@ -168,9 +174,11 @@
         """End a process at once; its connections are reset."""
         instance = self.instances[name]
         instance.alive = False
-        for other, other_id in instance.streams.values():
-            self.queue.after(
-                HOP_MS,
+        for stream_id, (other, other_id) in instance.streams.items():
+            self._transmit(
+                instance,
+                stream_id,
+                other,
                 lambda other=other, other_id=other_id: self._close(other, other_id),
             )
         instance.streams.clear()
