--- a/sassafrasloft/testing/fleet/auditing.py
+++ b/sassafrasloft/testing/fleet/auditing.py
@@ -25,6 +25,8 @@
     refused: dict[str, Milliseconds] = attrs.field(factory=dict)
     """Jobs whose every submission was refused so far."""
     accepted: set[str] = attrs.field(factory=set)
+    undecided: set[str] = attrs.field(factory=set)
+    """Jobs with a submission that was neither refused nor answered for good."""
     versions: dict[str, int] = attrs.field(factory=dict)
     """The newest configuration that a process has used, by incarnation."""
 
@@ -67,12 +69,16 @@
         """Note that a caller hands a job in."""
         self.accepted.add(job_id)
 
+    def left_undecided(self, job_id: str) -> None:
+        """Note that a submission may have led to runs; later refusals do not tell."""
+        self.undecided.add(job_id)
+
     def answered(
         self, job_id: str, answer: CallerAnswer, now: Milliseconds, still_open: int
     ) -> None:
         """Check an answer; `still_open` other submissions have none yet."""
         not_run = answer.kind in (AnswerKind.REFUSED, AnswerKind.UNAVAILABLE)
-        if not_run and not still_open:
+        if not_run and not still_open and job_id not in self.undecided:
             self.accepted.discard(job_id)
             self.refused[job_id] = now
             if self.starts.get(job_id):
