Keep runs that a restarted runner may have accepted

Cause: a runner restarted under its id. A start reached the new process before a list or a hold told of it; either then took all runs on the runner for over, and the task was started on another runner. While the store was away the runner was not used again either, since only its entry brought it back. Change: the answer to a hold decides which runs are over: those that the new process does not list and that had been accepted before the hold was sent. The others stay, and the runner is used on. A newer entry at the same address leads to a look.

--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -145,9 +145,10 @@
             view.hold_call = 0
         if reply.outcome is not OrderOutcome.DONE:
             return
+        if 0 <= reply.started_at_ms < view.born_at_ms:
+            return  # Of a former process, and overtaken.
         if holding.is_new_process(view, reply):
-            self._give_up_runner(view, "restarted under the same id", board)
-            return
+            view = self._replace_process(view, reply, call_id, board)
         first = not view.contacted
         view.contacted = True
         view.born_at_ms = max(view.born_at_ms, reply.started_at_ms)
@@ -160,6 +161,28 @@
         holding.continue_holding(view, board, self._calls)
         board.pool.changed = True
 
+    def _replace_process(
+        self,
+        view: RunnerView,
+        reply: HoldReply,
+        call_id: int,
+        board: InstanceBoard,
+    ) -> RunnerView:
+        """Go on with a runner's new process and the runs that it may have."""
+        board.log("runner_restarted", runner=view.runner_id, runs=len(view.runs))
+        listed = {(one.task, one.number) for one in reply.running}
+        for run in list(view.runs.values()):
+            if (run.task, run.number) in listed or not _certainly_absent(run, call_id):
+                continue
+            self._finish(view, run, RunEnd.LAPSED, "its runner restarted", board)
+        fresh = RunnerView(view.entry, view.entry.capacity)
+        for run in view.runs.values():
+            fresh.add(run)
+        fresh.lease_until = view.lease_until
+        holding.learn_clock(fresh, reply.runner_clock_ms, board.now)
+        board.pool.runners[fresh.runner_id] = fresh
+        return fresh
+
     def _take_ends(
         self, view: RunnerView, reply: HoldReply, board: InstanceBoard
     ) -> None:
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -163,10 +163,10 @@
         view.out_of_touch_since = -1
     view.last_answer_at = board.now
     if reply.runner_clock_ms >= 0:
-        _learn_clock(view, reply.runner_clock_ms, board.now)
+        learn_clock(view, reply.runner_clock_ms, board.now)
 
 
-def _learn_clock(view: RunnerView, clock: Milliseconds, now: Milliseconds) -> None:
+def learn_clock(view: RunnerView, clock: Milliseconds, now: Milliseconds) -> None:
     """Keep the best lower bound of the offset of a runner's clock."""
     offset = clock - now
     if view.clock_offset is not None:
--- a/sassafrasloft/runs/runner_list.py
+++ b/sassafrasloft/runs/runner_list.py
@@ -115,9 +115,10 @@
         view = pool.runners.get(entry.runner_id)
         if view is not None and _is_older(view, entry):
             return
-        if view is not None and _is_restarted(view, entry):
-            self._give_up_runner(view, "restarted under the same id", board)
+        if view is not None and entry.address != view.entry.address:
+            self._give_up_runner(view, "started again at another address", board)
             view = None
+        restarted = view is not None and _is_restarted(view, entry)
         if view is None:
             view = RunnerView(entry, entry.capacity, out_of_touch_since=board.now)
             pool.runners[entry.runner_id] = view
@@ -130,6 +131,9 @@
             grown = entry.capacity.minus(view.entry.capacity)
             view.free = view.free.plus(grown)
         view.entry = entry
+        if restarted:
+            # The answer shows which runs the new process has.
+            holding.look(view, board, self._calls)
 
     def _note_missing(self, view: RunnerView, board: InstanceBoard) -> None:
         if view.missing_since < 0:
@@ -144,7 +148,7 @@
     def _give_up_runner(
         self, view: RunnerView, reason: str, board: InstanceBoard
     ) -> None:
-        """Forget a runner whose runs are certainly over, or no longer ours."""
+        """Forget a runner whose process is certainly gone, and its runs."""
         board.log("runner_gone", runner=view.runner_id, reason=reason)
         for run in list(view.runs.values()):
             self._finish(view, run, RunEnd.LAPSED, reason, board)
@@ -172,4 +176,4 @@
 
 def _is_restarted(view: RunnerView, entry: RunnerEntry) -> bool:
     known = max(view.born_at_ms, view.entry.started_at_ms)
-    return entry.address != view.entry.address or 0 <= known < entry.started_at_ms
+    return 0 <= known < entry.started_at_ms
--- a/sassafrasloft/testing/fleet/tests/test_runner_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_runner_faults.py
@@ -1,17 +1,20 @@
 """Runners that crash, restart, fail, stand still, turn slow, or answer late."""
 
 import attrs
+import pytest
 
 from sassafrasloft.gateway import AnswerKind
 from sassafrasloft.runs import RunEnd
 from sassafrasloft.standins.lease_runner import StandinTask
 from sassafrasloft.testing.fleet.tests.situations import (
+    ORDER,
     completed,
     others,
     settled_world,
     submit_lookup,
     submit_order,
 )
+from sassafrasloft.testing.fleet.world import simple_job
 from sassafrasloft.workload import Resources
 
 
@@ -76,6 +79,37 @@
     assert completed(again) or again.answer.kind is AnswerKind.REFUSED
 
 
+@pytest.mark.parametrize("store_answers", [True, False])
+def test_a_run_that_a_restarted_runner_accepted_is_not_taken_for_over(store_answers):
+    """Guards against a second run of a task that began after the restart.
+
+    A start went to the new process before a list or a hold showed that there was one;
+    then all runs on the runner were taken for those of the former process.
+    """
+    for delay in range(1, 600, 60):
+        world = settled_world({"north": 2}, runners=2)
+        world.store_down = not store_answers
+        world.restart_runner("runner-north-0")
+        world.run(delay)
+        job = world.submit(
+            simple_job(1, 2, 14_000, 1_500), ORDER, others(world)[0], 4_000
+        )
+        world.run(4_000)
+        assert completed(job)
+
+
+def test_runners_that_restart_while_the_store_is_away_are_used_again():
+    """Guards against runners that are forgotten until their entries are read."""
+    world = settled_world({"north": 2}, runners=2)
+    world.store_down = True
+    for runner_id in list(world.runners):
+        world.restart_runner(runner_id)
+    world.run(1_500)
+    job = submit_lookup(world, 1, others(world)[0])
+    world.run(400)
+    assert completed(job)
+
+
 def test_runners_that_fail_everything_are_left_alone():
     world = settled_world(runners=4)
     for runner_id in list(world.runners)[:2]:
