Drive changing runners and lost schedulers in the fleet of decision cores

Change: the fleet can refuse, reset or lose the starts on a runner, for one zone too, and lose its answers.

--- a/sassafrasloft/testing/fleet/edges.py
+++ b/sassafrasloft/testing/fleet/edges.py
@@ -37,6 +37,7 @@
     StopRun,
 )
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin
+from sassafrasloft.testing.fleet.runner_faults import StartFault
 from sassafrasloft.workload import JobRequest, Route
 
 UPTIME_MS = 5_000_000
@@ -183,6 +184,8 @@
         if runner is None or self.cut(instance.name, command.runner_id):
             return
         order = command.order
+        if isinstance(order, StartRun) and self._start_fails(instance, command):
+            return
         if not isinstance(order, HoldRuns) and self.random.random() < self.late_orders:
             delay = self.random.uniform(200, 3_000)
             self.queue.after(delay, lambda: self._take_late(command))
@@ -197,6 +200,15 @@
             return
         self._send_reply(instance, command, reply)
 
+    def _start_fails(self, instance: Instance, command: CallRunner) -> bool:
+        """Let a start meet the fault of its runner; return whether there is one."""
+        fault = self.runner_faults.meet_start(command.runner_id, instance.zone)
+        if fault is StartFault.REFUSED:
+            self._send_reply(instance, command, StartReply(OrderOutcome.UNHEALTHY))
+        elif fault is StartFault.RESET:
+            self._send_reply(instance, command, StartReply(OrderOutcome.UNKNOWN))
+        return fault is not None
+
     def _take_late(self, command: CallRunner) -> None:
         runner = self.runners.get(command.runner_id)
         if runner is not None:
@@ -241,6 +253,8 @@
     ) -> None:
         if self.cut(instance.name, command.runner_id):
             return
+        if self.runner_faults.loses_answer(command.runner_id, self.random):
+            return
         self.queue.after(HOP_MS, lambda: self._runner_replies(instance, command, reply))
 
     def _runner_replies(
--- a/sassafrasloft/testing/fleet/tests/situations.py
+++ b/sassafrasloft/testing/fleet/tests/situations.py
@@ -1,5 +1,9 @@
 """What the tests of fleets share."""
 
+from collections.abc import Callable
+
+import attrs
+
 from sassafrasloft.gateway import AnswerKind
 from sassafrasloft.leadership import Role
 from sassafrasloft.testing.fleet.edges import HOST, SERVICE, TestJob
@@ -12,6 +16,10 @@
 ROUTES = (LOOKUP, CONFIRM, ORDER)
 ZONES = {"north": 3, "south": 3, "west": 2}
 SETTLED_MS = 1_000
+LOOKUP_IN_TIME_MS = 156
+"""The objective of a lookup: 1.6 times 60 ms of work, and 60 ms more."""
+DRAIN_MS = 2_000
+"""Within this time after a runner says that it leaves it may still get work."""
 
 
 def settled_world(
@@ -56,3 +64,36 @@
 def completed(job: TestJob) -> bool:
     """Return whether a job's first answer says that it is complete."""
     return job.answer is not None and job.answer.kind is AnswerKind.COMPLETED
+
+
+def in_time(jobs: list[TestJob]) -> int:
+    """Return how many lookups were completed within their objective."""
+    return sum(completed(job) and job.waited_ms <= LOOKUP_IN_TIME_MS for job in jobs)
+
+
+def spread(
+    world: FleetWorld,
+    count: int,
+    gap_ms: int = 60,
+    first: int = 1,
+    submit: Callable[[FleetWorld, int, str], TestJob] = submit_lookup,
+) -> list[TestJob]:
+    """Hand in jobs one after the other at the instances that do not schedule."""
+    names = others(world)
+    jobs = []
+    for number in range(count):
+        jobs.append(submit(world, first + number, names[number % len(names)]))
+        world.run(gap_ms)
+    return jobs
+
+
+def drain(world: FleetWorld, runner_id: str, remaining_ms: int = 0) -> None:
+    """Register a runner as leaving; a start after `DRAIN_MS` breaks a promise."""
+    runner = world.runners[runner_id]
+    leaving = attrs.evolve(runner.entry, draining=True, remaining_ms=remaining_ms)
+    world.register(leaving)
+
+    def forbid_starts() -> None:
+        runner.entry = leaving
+
+    world.queue.after(DRAIN_MS, forbid_starts)
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -24,6 +24,7 @@
     Instance,
     TestJob,
 )
+from sassafrasloft.testing.fleet.runner_faults import RunnerFaults
 from sassafrasloft.traces import TraceParent
 from sassafrasloft.workload import (
     JobRequest,
@@ -77,6 +78,7 @@
         """How late the timers of an instance are, in milliseconds."""
         self.lost_holds = 0.0
         """Share of holds that get no answer."""
+        self.runner_faults = RunnerFaults()
         self.durations: dict[str, StandinTask] = {}
         self.dark: set[str] = set()
         """Machines without power: connections to them are not refused."""
