Leave runners alone that lose each start

Cause: a start without an answer made its runner unusable only until any other call was answered. A runner whose starts are reset or hang answers looks and holds, nothing runs on it, and so it was tried again at once: a task went round on it until its deadline. Change: starts that get no answer are counted by runner until one is accepted; those lost before the runner answered anything else count as one, so that a short cut of the link puts nothing in quarantine. The second one puts the runner in quarantine. Before (test_unhealthy_runners, two such runners of twelve, 60 lookups): 1,368 starts met the fault on one runner with resets and 242 without answers (assert 1368 <= 6, assert 242 <= 6), and jobs were not completed. After: at most 6, all completed and 50 or more of 60 in time.

--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -109,6 +109,7 @@
         if outcome is OrderOutcome.DONE:
             run.accepted_at = board.now
             run.accepted_id = board.fresh_id()
+            view.lost_starts = 0
             if run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 run.state = RunState.RUNNING
             board.post(RunAccepted(run))
@@ -116,6 +117,7 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.UNCERTAIN
                 board.count("starts_unanswered")
+                health.note_lost_start(view, board)
             self.stop(view, run, board)
         else:
             health.note_rejection(view, outcome, board)
--- a/sassafrasloft/runs/health.py
+++ b/sassafrasloft/runs/health.py
@@ -1,7 +1,7 @@
 """Which runners are believed to be sound.
 
-Load patterns: runners that fail all they start, on which tasks stall, that
-turn slow, or that refuse work for a while.
+Load patterns: runners that fail all they start, that lose starts and answer all
+else, on which tasks stall, that turn slow, or that refuse work for a while.
 """
 
 from sassafrasloft.clock import Milliseconds
@@ -12,6 +12,8 @@
 
 FAILING_JOBS = 2
 """Failures of different jobs in a row: a single job may be at fault itself."""
+LOST_STARTS = 2
+"""In a row, with other answers between them: a single one may be lost on the way."""
 SLOWNESS_WEIGHT = 0.4
 """Of one sample: two slow tasks in a row show a runner that is four times slow."""
 SLOWNESS_HALF_LIFE_MS = 3_000
@@ -90,6 +92,20 @@
         view.unusable_until = max(view.unusable_until, board.now + NO_ROOM_PAUSE_MS)
 
 
+def note_lost_start(view: RunnerView, board: InstanceBoard) -> None:
+    """Learn that a start got no answer.
+
+    A runner may answer holds and yet lose every start. Starts that are lost together
+    may all be due to the link, which the next answer shows to be well again.
+    """
+    if view.last_answer_at <= view.start_lost_at:
+        return
+    view.start_lost_at = board.now
+    view.lost_starts += 1
+    if view.lost_starts >= LOST_STARTS:
+        quarantine(view, "starts get no answer", board)
+
+
 def report_overdue(view: RunnerView, board: InstanceBoard) -> bool:
     """Post the runs that take much longer than expected.
 
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -108,6 +108,10 @@
     slowness_at: Milliseconds = 0
     unanswered: int = 0
     """Orders in a row without an answer."""
+    lost_starts: int = 0
+    """Starts without an answer since the last one that was accepted; those that were
+    lost before the runner answered anything else count as one."""
+    start_lost_at: Milliseconds = -1
 
     @property
     def runner_id(self) -> str:
