--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN = PYTHONPATH=$(CURDIR) PYTHONHASHSEED=0 $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: help test lint format reference golden soak bench demo kill-test measure-entry live-round
+.PHONY: help test lint format reference golden core-soak soak bench demo kill-test measure-entry live-round
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -28,9 +28,12 @@
 golden: $(VENV)/.installed  ## Rewrite the golden files of sessions; read the diff.
 	$(RUN) -m sassafrasloft.testing.sessions
 
-soak: $(VENV)/.installed  ## Run the randomised run with SEED, such as 1, 1-20 or 3,7.
+core-soak: $(VENV)/.installed  ## Run the trial version's cores in an event queue with SEED.
 	$(RUN) -m benchmarks.soak --seeds=$(SEED)
 
+soak: $(VENV)/.installed  ## Run instances as processes with faults; SEED is 1, 1-20 or 3,7.
+	cd platform && PYTHONPATH=$(CURDIR) PYTHONHASHSEED=0 ../$(VENV)/bin/python -m soak --seeds=$(SEED)
+
 test: lint  ## Run formatter, linter and all tests.
 	$(RUN) -m pytest -n 4
 	cd platform && PYTHONHASHSEED=0 ../$(VENV)/bin/python -m pytest -n 2
