--- /dev/null
+++ b/sassafrasloft/testing/fleet/tests/test_cancelled_jobs.py
@@ -0,0 +1,34 @@
+"""Jobs that are cancelled while their callers wait."""
+
+import pytest
+
+from sassafrasloft.gateway import AnswerKind
+from sassafrasloft.instance.events import JobStateRequested
+from sassafrasloft.testing.fleet.tests.situations import ORDER, others, settled_world
+from sassafrasloft.testing.fleet.world import simple_job
+
+CANCELLING = 1_000_000
+"""Id of the request that cancels; above those of submissions."""
+
+
+@pytest.mark.xfail(
+    strict=True, reason="KNOWN-RED: the submission is not answered, issue 15"
+)
+def test_a_cancelled_job_answers_its_waiting_submission():
+    """Guards against callers that wait until their deadline for a cancelled job.
+
+    The cancelling and the submission arrive at the same instance, which follows the
+    scheduler.
+    """
+    world = settled_world()
+    instance = others(world)[0]
+    job = world.submit(simple_job(1, 2, 14_000, 900), ORDER, instance)
+    world.run(100)
+    path = ORDER.prefix + job.job.job_id
+    cancelling = JobStateRequested(
+        CANCELLING, ORDER.host, path, job.job.job_id, cancel=True
+    )
+    world.tell(world.instances[instance], cancelling)
+    world.run(200)
+    kinds = [answer.kind for _, answer in job.answers]
+    assert kinds == [AnswerKind.CANCELLED]
