--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -251,7 +251,8 @@
         job = board.jobs.open.get(message.job_id)
         state = self._state_of(message.job_id, board)
         if job is not None:
-            job.followers.discard(stream_id)
+            if not message.wants_answer:
+                job.followers.discard(stream_id)
             if message.wants_answer or not job.followers:
                 self.end(job, JobOutcome.CANCELLED, "cancelled", board)
                 state = JobOutcome.CANCELLED.value
--- a/sassafrasloft/testing/fleet/tests/test_cancelled_jobs.py
+++ b/sassafrasloft/testing/fleet/tests/test_cancelled_jobs.py
@@ -1,7 +1,5 @@
 """Jobs that are cancelled while their callers wait."""
 
-import pytest
-
 from sassafrasloft.gateway import AnswerKind
 from sassafrasloft.instance.events import JobStateRequested
 from sassafrasloft.testing.fleet.tests.situations import ORDER, others, settled_world
@@ -11,9 +9,6 @@
 """Id of the request that cancels; above those of submissions."""
 
 
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED: the submission is not answered, issue 15"
-)
 def test_a_cancelled_job_answers_its_waiting_submission():
     """Guards against callers that wait until their deadline for a cancelled job.
 
