Put a runner in quarantine at the third lost start instead of the second

Cause: where one order in twenty gets no answer, two starts in a row are lost often, and sound runners lost their room for a second. Change: three in a row.

--- a/sassafrasloft/runs/health.py
+++ b/sassafrasloft/runs/health.py
@@ -12,8 +12,9 @@
 
 FAILING_JOBS = 2
 """Failures of different jobs in a row: a single job may be at fault itself."""
-LOST_STARTS = 2
-"""In a row, with other answers between them: a single one may be lost on the way."""
+LOST_STARTS = 3
+"""In a row, with other answers between them. If one order in twenty gets no answer,
+two of 240 starts a second are lost in a row every 2 s, and three every 30 s."""
 SLOWNESS_WEIGHT = 0.4
 """Of one sample: two slow tasks in a row show a runner that is four times slow."""
 SLOWNESS_HALF_LIFE_MS = 3_000
