Let jobs wait for the rack of their data while they can be in time there

Cause: once a rack that many jobs want was full, their tasks went to other racks at once, where a lookup takes three times as long: late for certain, in room that other jobs wanted, although room in its rack came free within 60 ms. Change: a task does not go away from its data while it may yet be in time in its rack and would be late elsewhere. It goes just before admission would refuse its job, and at once if the rack has no usable runner. Others still run elsewhere: a rack without runners and orders that would be refused have tests, too.

--- a/sassafrasloft/scheduling/placement.py
+++ b/sassafrasloft/scheduling/placement.py
@@ -1,7 +1,7 @@
 """Which runner a task goes to.
 
 Load pattern: tasks of 8 to 20 cores on runners of 32 or 48: what is left on a
-runner is often too little for another task.
+runner is often too little for another task. Many jobs may want one rack.
 """
 
 from abc import ABC, abstractmethod
@@ -22,6 +22,9 @@
 only if no sound one has room."""
 REMOTE_PENALTY = 20_000
 """Millicores of remaining room for a runner away from the task's data."""
+LAST_CHANCE_MS = 12
+"""A job waits for the rack of its data until this long before it would be late there:
+a little more than the margin after which admission refuses it."""
 FAILED_PENALTY = 80_000
 """Millicores of remaining room for a runner where the task has failed before."""
 
@@ -32,12 +35,19 @@
 
     view: RunnerView
     slowness: float
+    away_factor: float = 1.0
+    """How many times as long tasks take whose data is in another rack."""
+
+    def is_away(self, step: StepRequest) -> bool:
+        """Return whether a step's data is in another rack."""
+        rack = step.preferred_rack
+        return bool(rack) and not self.view.entry.is_in(rack)
 
 
 def candidates(pool: RunnerPool, service: str, now: Milliseconds) -> list[Candidate]:
     """Return the runners of a service that may get work, in a fixed order."""
     return [
-        Candidate(view, current_slowness(view, now))
+        Candidate(view, current_slowness(view, now), pool.away_factor)
         for view in pool.runners.values()
         if view.entry.service == service and pool.usable(view, now)
     ]
@@ -83,7 +93,11 @@
 
 @PLACEMENTS.register("best_fit")
 class BestFit(Placement):
-    """Takes the runner on which the least room remains; slow runners last."""
+    """Takes the runner on which the least room remains; slow runners last.
+
+    A runner away from a task's data is taken if the task is in time there, or cannot
+    be in time in its rack either.
+    """
 
     def choose(
         self,
@@ -96,6 +110,7 @@
         """Return the runner with the least remaining room."""
         step = job.request.steps[task.step]
         millicores = step.demand.millicores
+        waits = _waits_for_rack(offers, job, step, latest_end, now)
         best: Candidate | None = None
         best_cost = float("inf")
         for offer in offers:
@@ -107,7 +122,9 @@
                 if now + step.estimate_ms * offer.slowness > latest_end:
                     continue
                 cost += SLOW_PENALTY * offer.slowness
-            if step.preferred_rack and step.preferred_rack not in view.entry.labels:
+            if offer.is_away(step):
+                if waits:
+                    continue
                 cost += REMOTE_PENALTY
             if view.runner_id in task.failed_on:
                 cost += FAILED_PENALTY
@@ -117,6 +134,24 @@
         return best
 
 
+def _waits_for_rack(
+    offers: list[Candidate],
+    job: ScheduledJob,
+    step: StepRequest,
+    latest_end: Milliseconds,
+    now: Milliseconds,
+) -> bool:
+    """Return whether a task would be late elsewhere and may yet be in time there."""
+    if not step.preferred_rack or not offers:
+        return False
+    away_ms = step.estimate_ms * offers[0].away_factor
+    if now + away_ms <= latest_end:
+        return False
+    if now + job.work_ms + LAST_CHANCE_MS > latest_end:
+        return False
+    return any(not offer.is_away(step) for offer in offers)
+
+
 def allowed(
     view: RunnerView, job: ScheduledJob, task: ScheduledTask, step: StepRequest
 ) -> bool:
--- a/sassafrasloft/testing/fleet/tests/test_wanted_racks.py
+++ b/sassafrasloft/testing/fleet/tests/test_wanted_racks.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from sassafrasloft.gateway import AnswerKind
 from sassafrasloft.runs.health import current_slowness
 from sassafrasloft.testing.fleet.tests.situations import (
     LOOKUP,
@@ -12,6 +13,7 @@
     scheduler_of,
     settled_world,
     spread,
+    submit_lookup,
 )
 from sassafrasloft.testing.fleet.world import simple_job
 
@@ -68,6 +70,18 @@
     assert 55 <= estimates.expect("lookup", 60) <= 75
 
 
+def test_a_short_wait_for_the_wanted_rack_comes_before_a_late_run_elsewhere():
+    """Guards against lookups that are late for certain while the rack has room soon.
+
+    Elsewhere a lookup takes 180 ms and is late; in its rack room comes within 60.
+    """
+    world = world_of_racks()
+    jobs = spread(world, 60, gap_ms=30, submit=submit_near)
+    world.run(500)
+    assert in_time(jobs) >= 54
+    assert all(job.answer.kind is not AnswerKind.FAILED for job in jobs)
+
+
 def test_a_rack_without_runners_keeps_no_job_waiting():
     """Guards against jobs that are refused since the rack they want is gone."""
     world = world_of_racks()
@@ -97,3 +111,18 @@
         world.run(5)
     world.run(4_500)
     assert all(completed(job) for job in orders)
+
+
+def test_other_jobs_are_in_time_beside_a_rack_that_many_want():
+    """Guards against a burst for one rack that keeps the room of all others."""
+    world = world_of_racks()
+    names = others(world)
+    wanted, plain = [], []
+    for number in range(60):
+        name = names[number % len(names)]
+        wanted.append(submit_near(world, 1_000 + number, name))
+        plain.append(submit_lookup(world, 1 + number, name))
+        world.run(15)
+    world.run(1_000)
+    assert in_time(plain) >= 57
+    assert all(job.answers for job in wanted)
