Decode the health path of services, and say why no instance asks there

Cause: the grown deployments add a health answer of runners. It may be false either way, looks at runners are priced, and results of work decide already.

--- a/sassafrasloft/workload/configuration.py
+++ b/sassafrasloft/workload/configuration.py
@@ -47,12 +47,27 @@
 
 @attrs.frozen
 class ServicePolicy:
-    """A service: a pool of runners."""
+    """A service: a pool of runners.
+
+    Parameters
+    ----------
+    name : str
+    max_connections : int
+        That one runner takes.
+    rejects_overload : bool
+        Whether its runners refuse what does not fit.
+    standby : bool
+        Whether its machines are off.
+    health_path : str
+        Where a runner says whether it believes itself healthy; empty if it does not.
+        No instance asks: what becomes of runs decides (`runs/health.py`).
+    """
 
     name: str
     max_connections: int = 64
     rejects_overload: bool = True
     standby: bool = False
+    health_path: str = ""
 
 
 @attrs.frozen
