--- a/sassafrasloft/scheduling/free_room.py
+++ b/sassafrasloft/scheduling/free_room.py
@@ -17,9 +17,13 @@
     ----------
     views : list of RunnerView
         In a fixed order, which decides between runners with equal room.
+    away_factor : float
+        How many times as long a task takes away from the rack of its data.
     """
 
-    def __init__(self, views: list[RunnerView]) -> None:
+    def __init__(self, views: list[RunnerView], away_factor: float = 1.0) -> None:
+        self.away_factor = away_factor
+        self._racks: dict[str, bool] = {}
         self._views = views
         self._free = [view.free.millicores for view in views]
         """As sorted; a runner's room may have changed since."""
@@ -38,7 +42,8 @@
                 view
                 for view in pool.runners.values()
                 if usable(view, now) and view.entry.service == service
-            ]
+            ],
+            pool.away_factor,
         )
 
     def __len__(self) -> int:
@@ -49,6 +54,12 @@
         """Return the runners in their fixed order."""
         return iter(self._views)
 
+    def has_rack(self, rack: str) -> bool:
+        """Return whether one of the runners is in a rack."""
+        if rack not in self._racks:
+            self._racks[rack] = any(view.entry.is_in(rack) for view in self._views)
+        return self._racks[rack]
+
     def most_free(self, count: int) -> list[int]:
         """Return the free millicores of the emptiest runners."""
         return [free for free, _ in self._sorted[: -count - 1 : -1]]
--- a/sassafrasloft/scheduling/placement.py
+++ b/sassafrasloft/scheduling/placement.py
@@ -1,7 +1,7 @@
 """Which runner a task goes to.
 
 Load pattern: tasks of 8 to 20 cores on runners of 32 or 48: what is left on a
-runner is often too little for another task.
+runner is often too little for another task. Many jobs may want one rack.
 """
 
 from abc import ABC, abstractmethod
@@ -21,6 +21,9 @@
 only if no sound one has room."""
 REMOTE_PENALTY = 20_000
 """Millicores of remaining room for a runner away from the task's data."""
+LAST_CHANCE_MS = 12
+"""A job waits for the rack of its data until this long before it would be late there:
+a little more than the margin after which admission refuses it."""
 FAILED_PENALTY = 80_000
 """Millicores of remaining room for a runner where the task has failed before."""
 
@@ -65,7 +68,11 @@
 
 @PLACEMENTS.register("best_fit")
 class BestFit(Placement):
-    """Takes the runner on which the least room remains; slow runners last."""
+    """Takes the runner on which the least room remains; slow runners last.
+
+    A runner away from a task's data is taken if the task is in time there, or cannot
+    be in time in its rack either.
+    """
 
     def choose(
         self,
@@ -78,6 +85,7 @@
         """Return the runner with the least remaining room."""
         step = job.request.steps[task.step]
         millicores = step.demand.millicores
+        waits = _waits_for_rack(room, job, step, latest_end, now)
         best: RunnerView | None = None
         best_cost = float("inf")
         for view in room.at_least(millicores):
@@ -91,7 +99,10 @@
                 if now + step.estimate_ms * slowness > latest_end:
                     continue
                 cost += SLOW_PENALTY * slowness
-            if step.preferred_rack and step.preferred_rack not in view.entry.labels:
+            rack = step.preferred_rack
+            if rack and not view.entry.is_in(rack):
+                if waits:
+                    continue
                 cost += REMOTE_PENALTY
             if view.runner_id in task.failed_on:
                 cost += FAILED_PENALTY
@@ -101,6 +112,23 @@
         return best
 
 
+def _waits_for_rack(
+    room: FreeRoom,
+    job: ScheduledJob,
+    step: StepRequest,
+    latest_end: Milliseconds,
+    now: Milliseconds,
+) -> bool:
+    """Return whether a task would be late elsewhere and may yet be in time there."""
+    if not step.preferred_rack:
+        return False
+    if now + step.estimate_ms * room.away_factor <= latest_end:
+        return False
+    if now + job.work_ms + LAST_CHANCE_MS > latest_end:
+        return False
+    return room.has_rack(step.preferred_rack)
+
+
 def allowed(
     view: RunnerView, job: ScheduledJob, task: ScheduledTask, step: StepRequest
 ) -> bool:
--- a/sassafrasloft/scheduling/placing.py
+++ b/sassafrasloft/scheduling/placing.py
@@ -170,7 +170,8 @@
     ) -> bool:
         """Start a job late on slow runners rather than refuse it."""
         now = board.now
-        slow = FreeRoom([one for one in room if current_slowness(one, now) > SLOW])
+        views = [one for one in room if current_slowness(one, now) > SLOW]
+        slow = FreeRoom(views, room.away_factor)
         if not len(slow) or not may_start(job, board):
             return False
         self._place_tasks(job, slow, job.deadline_at, board)
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -11,7 +11,11 @@
 from sassafrasloft.instance.settings import InstanceSettings
 from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.runs import RunnerEntry
-from sassafrasloft.standins.lease_runner import LeaseRunnerStandin, StandinTask
+from sassafrasloft.standins.lease_runner import (
+    AWAY_FACTOR,
+    LeaseRunnerStandin,
+    StandinTask,
+)
 from sassafrasloft.standins.metadata_store import MetadataStoreStandin
 from sassafrasloft.testing.event_queue import EventQueue
 from sassafrasloft.testing.fleet.auditing import FleetAudit
@@ -161,7 +165,9 @@
             return self.durations[name]
         job_id, _, step, _ = name.split(".")
         request = self.jobs[job_id].job.steps[int(step)]
-        return StandinTask(request.demand, float(request.estimate_ms))
+        return StandinTask(
+            request.demand, float(request.estimate_ms), rack=request.preferred_rack
+        )
 
     def start_instance(self, name: str, zone: str) -> Instance:
         """Start a process."""
@@ -169,7 +175,16 @@
         seeds = tuple(one.address for one in list(self.instances.values())[:3])
         cores = self.cores.get(name, 1.0)
         settings = InstanceSettings(
-            name, zone, "", "", address, "", "", cores=cores, seeds=seeds
+            name,
+            zone,
+            "",
+            "",
+            address,
+            "",
+            "",
+            cores=cores,
+            away_factor=AWAY_FACTOR,
+            seeds=seeds,
         )
         core = create_instance(
             settings,
