Stop abandoned jobs before their callers return

Cause: a scheduler went on with a job whose caller's connection had broken, and even started its tasks again. In a cut the caller, who returns after 1,300 ms at any instance, reached the scheduler of the other side. Change: the instance tells its scheduler that the connection broke; the scheduler stops the job 1,100 ms later (tuning return_ms) unless it is handed in again before. Open: a caller that loses its connection without its instance seeing this.

--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -228,9 +228,8 @@
             reset=event.reset,
             after_ms=board.now - job.arrived_at,
         )
-        # A caller whose connection was reset sends again and finds its work done.
-        if job.sent_to_current and not event.reset:
-            self._send(CancelJob(job_id, wants_answer=False), board)
+        if job.sent_to_current:
+            self._send(CancelJob(job_id, False, may_return=event.reset), board)
 
     # Answers
 
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -210,10 +210,14 @@
 @register_message("cancel")
 @attrs.frozen
 class CancelJob(Message):
-    """The caller gave up; `wants_answer` if it asked for this in a request."""
+    """The caller gave up; `wants_answer` if it asked for this in a request.
+
+    `may_return` if its connection broke: it may send the job again, at any instance.
+    """
 
     job_id: str
     wants_answer: bool
+    may_return: bool = False
 
 
 @register_message("query_job")
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -109,6 +109,9 @@
     declared durations are off by up to 40%, true ones vary by 40%."""
     answer_retention_ms: Milliseconds = 5_000
     """Callers send again 1,300 after a lost answer."""
+    return_ms: Milliseconds = 1_100
+    """Callers send again 1,300 after their connection broke, perhaps at a scheduler
+    out of reach of this one; messages, a check and a stop take up to 160."""
     most_open_jobs: int = 2_000
     """At one scheduler; further jobs are refused."""
     shortest_retry_after_s: int = 1
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -17,6 +17,7 @@
 from sassafrasloft.runs import Run, RunEnd, RunState
 from sassafrasloft.scheduling.admission import ADMISSIONS
 from sassafrasloft.scheduling.job_keeping import (
+    ABANDONED_TIMER,
     PRUNE_MS,
     PRUNE_TIMER,
     UNFOLLOWED_TIMER,
@@ -84,6 +85,8 @@
                 self._keeper.prune(board)
             elif event.name == UNFOLLOWED_TIMER:
                 self._keeper.end_unfollowed(board)
+            elif event.name == ABANDONED_TIMER:
+                self._keeper.end_abandoned(board)
         elif isinstance(event, FollowerLost):
             self._keeper.drop_follower(event, board)
         elif isinstance(event, RightLost):
--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -39,6 +39,7 @@
 WAIT_TIMER = "scheduling.wait"
 PRUNE_TIMER = "scheduling.prune"
 UNFOLLOWED_TIMER = "scheduling.unfollowed"
+ABANDONED_TIMER = "scheduling.abandoned"
 CHECK_MS = 50
 """Period of the check for jobs that nobody waits for, in milliseconds."""
 PRUNE_MS = 1_000
@@ -125,6 +126,7 @@
         known = board.jobs.open.get(job_id)
         if known is not None:
             known.followers.add(stream_id)
+            known.abandoned_at = -1
             known.note(board.now, "handed_in_again")
             return
         kept = board.jobs.answers.get(job_id)
@@ -244,7 +246,9 @@
     def _cancel(self, stream_id: int, message: CancelJob, board: InstanceBoard) -> None:
         job = board.jobs.open.get(message.job_id)
         state = self._state_of(message.job_id, board)
-        if job is not None:
+        if job is not None and message.may_return and job.followers == {stream_id}:
+            self._abandon(job, board)
+        elif job is not None:
             job.followers.discard(stream_id)
             if message.wants_answer or not job.followers:
                 self.end(job, JobOutcome.CANCELLED, "cancelled", board)
@@ -252,6 +256,25 @@
         if message.wants_answer:
             self._send(stream_id, JobState(message.job_id, state), board)
 
+    def _abandon(self, job: ScheduledJob, board: InstanceBoard) -> None:
+        """Keep a job for a while, whose caller sends it again."""
+        checking = any(one.abandoned_at >= 0 for one in board.jobs.open.values())
+        if job.abandoned_at < 0:
+            job.abandoned_at = board.now
+            job.note(board.now, "abandoned")
+        if not checking:
+            board.set_timer(ABANDONED_TIMER, CHECK_MS)
+
+    def end_abandoned(self, board: InstanceBoard) -> None:
+        """Stop jobs before their callers may hand them in at another scheduler."""
+        latest = board.now - board.tuning.return_ms
+        waiting = [one for one in board.jobs.open.values() if one.abandoned_at >= 0]
+        for job in waiting:
+            if job.abandoned_at <= latest:
+                self.end(job, JobOutcome.CANCELLED, "its caller is gone", board)
+        if waiting:
+            board.set_timer(ABANDONED_TIMER, CHECK_MS)
+
     def drop_follower(self, event: FollowerLost, board: InstanceBoard) -> None:
         """Stop jobs of an instance that may have handed them to another scheduler.
 
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -85,6 +85,8 @@
     first_start_at: Milliseconds = -1
     unfollowed_since: Milliseconds = -1
     """When the last instance that waited for the answer was lost."""
+    abandoned_at: Milliseconds = -1
+    """When the connection of the last caller broke that waited for the answer."""
     resubmitted: bool = False
     repeated: bool = False
     """Whether its caller has sent it before, as the time that it still waits tells."""
--- a/sassafrasloft/testing/fleet/tests/test_overlapping_schedulers.py
+++ b/sassafrasloft/testing/fleet/tests/test_overlapping_schedulers.py
@@ -4,11 +4,14 @@
 
 import pytest
 
+from sassafrasloft.testing.fleet.day_callers import RESEND_MS
 from sassafrasloft.testing.fleet.tests.situations import (
     CONFIRM,
     ORDER,
     ROUTES,
+    completed,
     scheduler_of,
+    settled_world,
 )
 from sassafrasloft.testing.fleet.tests.test_cuts import cut_zone
 from sassafrasloft.testing.fleet.world import FleetWorld, simple_job
@@ -48,3 +51,28 @@
         world.submit(job, route, inside[number % len(inside)])
         world.run(10)
     world.run(2_000)
+
+
+@pytest.mark.parametrize("by_scheduler", [True, False])
+def test_a_job_whose_caller_returns_on_the_other_side_of_a_cut_runs_once(by_scheduler):
+    """Guards against work that goes on after its caller's connection broke.
+
+    Each side of the cut has a scheduler. The caller sent the job again after 1,300 ms
+    and reached the other one.
+    """
+    world = settled_world()
+    zone = world.instances[scheduler_of(world)].zone
+    inside = [name for name, one in world.instances.items() if one.zone == zone]
+    outside = [name for name, one in world.instances.items() if one.zone != zone]
+    first, second = (inside, outside) if by_scheduler else (outside, inside)
+    cut_zone(world, zone, True)
+    world.reset_streams()
+    world.run(1_500)
+    job = simple_job(1, 2, 14_000, 2_400)
+    known = world.submit(job, ORDER, first[0], 4_000)
+    world.run(100)
+    world.give_up(known, reset=True)
+    world.run(RESEND_MS)
+    world.submit(job, ORDER, second[0], 4_000)
+    world.run(3_000)
+    assert completed(known)
