--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -15,6 +15,8 @@
 
 _KINDS: dict[str, type["Message"]] = {}
 _NAMES: dict[type["Message"], str] = {}
+# Kept, since each new one gets a buffer of 256 KB.
+_PACKER = msgpack.Packer()
 MessageClass = TypeVar("MessageClass", bound=type["Message"])
 
 MAX_MESSAGE_BYTES = 4_000_000
@@ -45,7 +47,7 @@
 
 def encode_message(message: Message) -> bytes:
     """Return the bytes of a message."""
-    return msgpack.packb([_NAMES[type(message)], *to_packed(message)])
+    return _PACKER.pack([_NAMES[type(message)], *to_packed(message)])
 
 
 def decode_message(value: object) -> Message:
--- /dev/null
+++ b/sassafrasloft/workload/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of jobs and their packed form."""
--- /dev/null
+++ b/sassafrasloft/workload/tests/test_packing_form.py
@@ -0,0 +1,148 @@
+"""The packed form against one that is read from the classes each time."""
+
+from types import UnionType
+from typing import get_args, get_origin, get_type_hints
+
+import attrs
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sassafrasloft.instance.messages import (
+    _KINDS,
+    MessageMalformed,
+    SubmitJob,
+    decode_message,
+    encode_message,
+)
+from sassafrasloft.workload import JobRequest, Resources, StepRequest
+from sassafrasloft.workload.packing_form import from_packed, to_packed
+
+STEP = StepRequest(3, Resources(1_000, 64, 0), 60, (0, 1), "a", "r", 2)
+JOB = JobRequest("5c0e7a21d94b36f8", "x", (STEP, STEP))
+WHOLE = st.integers(0, 1 << 40)
+
+
+def reference_packed(value):
+    """Pack by the fields of the object at hand."""
+    if attrs.has(type(value)):
+        return [
+            reference_packed(getattr(value, field.name))
+            for field in attrs.fields(type(value))
+            if field.init
+        ]
+    if isinstance(value, tuple | list):
+        return [reference_packed(one) for one in value]
+    return value
+
+
+def reference_read(kind, value):
+    """Read by the type hints of the class at hand."""
+    if get_origin(kind) is tuple:
+        if not isinstance(value, list):
+            raise TypeError
+        return tuple(reference_read(get_args(kind)[0], one) for one in value)
+    if get_origin(kind) is UnionType:
+        return None if value is None else reference_read(get_args(kind)[0], value)
+    if attrs.has(kind):
+        if not isinstance(value, list):
+            raise TypeError
+        hints = get_type_hints(kind)
+        fields = [hints[one.name] for one in attrs.fields(kind) if one.init]
+        return kind(
+            *(reference_read(a, b) for a, b in zip(fields, value, strict=False))
+        )
+    if kind is float and type(value) is int:
+        return float(value)
+    if type(value) is not kind:
+        raise TypeError
+    return value
+
+
+def objects(kind):
+    """Return a strategy for objects of a class, by its type hints."""
+    if get_origin(kind) is tuple:
+        return st.lists(objects(get_args(kind)[0]), max_size=3).map(tuple)
+    if get_origin(kind) is UnionType:
+        return st.none() | objects(get_args(kind)[0])
+    if attrs.has(kind):
+        hints = get_type_hints(kind)
+        return st.builds(
+            kind,
+            **{
+                one.alias: objects(hints[one.name])
+                for one in attrs.fields(kind)
+                if one.init
+            },
+        )
+    scalars = {
+        str: st.text(max_size=5),
+        bytes: st.binary(max_size=5),
+        int: WHOLE,
+        float: st.floats(allow_nan=False) | WHOLE,
+        bool: st.booleans(),
+    }
+    return scalars[kind]
+
+
+@st.composite
+def damaged(draw, value):
+    """Return a packed value in which one part has another type or length."""
+    if isinstance(value, list) and value and draw(st.booleans()):
+        index = draw(st.integers(0, len(value) - 1))
+        return [
+            *value[:index],
+            draw(damaged(value[index])),
+            *value[index + 1 :],
+        ]
+    if isinstance(value, list) and draw(st.booleans()):
+        return draw(st.sampled_from([value[:-1], [*value, 3]]))
+    return draw(st.sampled_from([None, 3, 2.5, True, "x", b"x", [], {}]))
+
+
+def outcome(read, kind, value):
+    try:
+        return read(kind, value)
+    except TypeError:
+        return TypeError
+
+
+@pytest.mark.parametrize("kind", sorted(_KINDS))
+@settings(max_examples=40, derandomize=True, deadline=None)
+@given(data=st.data())
+def test_messages_have_the_form_that_their_classes_say(kind, data):
+    """Guards against fields that are lost or read as others' when forms are derived."""
+    message = data.draw(objects(_KINDS[kind]))
+    packed = to_packed(message)
+    assert packed == reference_packed(message)
+    assert from_packed(_KINDS[kind], packed) == message
+    unpacked = msgpack.unpackb(encode_message(message))
+    assert unpacked == [kind, *packed]
+    assert decode_message(unpacked) == message
+
+
+@pytest.mark.parametrize("kind", sorted(_KINDS))
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(data=st.data())
+def test_damaged_messages_are_read_or_refused_as_their_classes_say(kind, data):
+    """Guards against a quick check of types that lets wrong ones through."""
+    packed = to_packed(data.draw(objects(_KINDS[kind])))
+    value = data.draw(damaged(packed))
+    expected = outcome(reference_read, _KINDS[kind], value)
+    assert outcome(from_packed, _KINDS[kind], value) == expected
+    assert type(outcome(from_packed, _KINDS[kind], value)) is type(expected)
+
+
+def test_releases_may_differ_by_fields_at_the_end():
+    message = SubmitJob(JOB, "lookup", 1, 2, False, 7)
+    packed = to_packed(message)
+    assert from_packed(SubmitJob, packed[:5]).settle_ms == 0
+    assert from_packed(SubmitJob, [*packed, "new"]) == message
+
+
+def test_a_truth_value_is_not_a_number():
+    packed = to_packed(SubmitJob(JOB, "lookup", 1, 2, False))
+    packed[2] = True
+    with pytest.raises(MessageMalformed):
+        decode_message(["submit", *packed])
