Assemble requests to runners from prepared parts

Cause: each call built its head from a list of lines and its body by an encoder that json.dumps makes anew for each dict.

--- a/sassafrasloft/event_loop/http_messages.py
+++ b/sassafrasloft/event_loop/http_messages.py
@@ -70,6 +70,23 @@
         return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + self.body
 
 
+def request_head(
+    method: str, target: str, host: str, headers: tuple[tuple[str, str], ...] = ()
+) -> bytes:
+    """Return the head of a request with a JSON body, up to the body's length.
+
+    The length and an empty line follow; heads that are used often can be kept.
+    """
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        f"Host: {host}",
+        "Content-Type: application/json",
+    ]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append("Content-Length: ")
+    return "\r\n".join(lines).encode("latin-1")
+
+
 def request_bytes(
     method: str,
     target: str,
