Keep deadlines of calls in order instead of a timer for each

Cause: each call entered a timer into the loop's heap and cancelled it, and the heap was cleaned up again and again.

Change: event_loop/deadlines.py keeps the deadlines of each length of time in their order, with one timer of the loop at a time.

By the test, 1,000 calls that end in time have at most one timer in the loop at once (1,000 before).

--- a/sassafrasloft/event_loop/http_client.py
+++ b/sassafrasloft/event_loop/http_client.py
@@ -4,13 +4,14 @@
 from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
+from functools import partial
 
 import attrs
 import httptools
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.event_loop.deadlines import Deadline, Deadlines
 
-_MS_IN_SECOND = 1_000
 MAX_RESPONSE_BYTES = 8_000_000
 """A value of 1 MB is at most 6 MB as JSON; a longer body is not read."""
 
@@ -40,15 +41,15 @@
 class _Call:
     request: bytes
     done: OnDone
-    timer: asyncio.TimerHandle | None = None
+    deadline: Deadline | None = None
     connection: "_ClientConnection | None" = None
     connecting: "asyncio.Task | None" = None
 
     def finish(self, result: CallResponse | CallFault) -> None:
         """Report the result, once."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        if self.deadline is not None:
+            self.deadline.cancel()
+            self.deadline = None
         done, self.done = self.done, _ignore
         done(result)
 
@@ -71,16 +72,18 @@
         self._idle: dict[str, list[_ClientConnection]] = {}
         self._open: dict[str, int] = {}
         self._waiting: dict[str, deque[_Call]] = {}
+        self._deadlines: Deadlines | None = None
         self.connections_made = 0
 
     def send(
         self, address: str, request: bytes, timeout_ms: Milliseconds, done: OnDone
     ) -> None:
         """Send a request; `done` is called once, with a response or a fault."""
-        loop = asyncio.get_running_loop()
+        if self._deadlines is None:
+            self._deadlines = Deadlines(asyncio.get_running_loop())
         call = _Call(request, done)
-        call.timer = loop.call_later(
-            timeout_ms / _MS_IN_SECOND, self._time_out, address, call
+        call.deadline = self._deadlines.set(
+            timeout_ms, partial(self._time_out, address, call)
         )
         self._dispatch(address, call)
 
@@ -111,13 +114,13 @@
             return
         self.connections_made += 1
         call.connecting = None
-        if call.timer is None:
+        if call.deadline is None:
             self.free(address, connection)
         else:
             connection.send(call)
 
     def _time_out(self, address: str, call: _Call) -> None:
-        call.timer = None
+        call.deadline = None
         if call.connecting is not None:
             call.connecting.cancel()
             return
