--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -52,6 +52,8 @@
         self._keep_call = 0
         self._ready = False
         self._beat_at = 0
+        self._backlog_ms = 0
+        """How long the oldest event that waits for the core has waited."""
         self._slowness = Slowness()
         self._offered_before = 0
         """Tasks that callers had handed in here at the last beat."""
