--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -15,6 +15,7 @@
     ZoneReturned,
 )
 from sassafrasloft.runs import health, holding
+from sassafrasloft.runs.contacts import IN_EACH_SWEEP
 from sassafrasloft.runs.orders import (
     HoldReply,
     OrderOutcome,
@@ -77,6 +78,8 @@
         if view is None:
             return
         holding.note_answer(view, event, call.kind, board)
+        if self._contacts.note_answer(view.runner_id):
+            self._contact_next(board)
         reply = event.reply
         in_force = board.rights.token_for(view.entry.zone)
         if reply.outcome is OrderOutcome.FENCED and call.token == in_force:
@@ -232,9 +235,10 @@
 
     def _sweep(self, board: InstanceBoard) -> None:
         board.set_timer(SWEEP_TIMER, SWEEP_MS)
+        self._contact_next(board, IN_EACH_SWEEP)
         for view in list(board.pool.runners.values()):
             self._end_lapsed(view, board)
-            if not view.fenced:
+            if not view.fenced and view.runner_id not in self._contacts:
                 holding.keep_holding(view, board, self._calls)
                 if health.report_overdue(view, board):
                     holding.look(view, board, self._calls)
--- a/sassafrasloft/runs/runner_list.py
+++ b/sassafrasloft/runs/runner_list.py
@@ -4,6 +4,7 @@
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.events import RightGained, RightLost, RunFinished
 from sassafrasloft.runs import holding
+from sassafrasloft.runs.contacts import ContactQueue
 from sassafrasloft.runs.orders import RunEnd
 from sassafrasloft.runs.runners import Run, RunnerEntry, RunnerView
 
@@ -17,6 +18,7 @@
 
     def __init__(self) -> None:
         self._calls: holding.Calls = {}
+        self._contacts = ContactQueue()
 
     def _activate(self, event: RightGained, board: InstanceBoard) -> None:
         pool = board.pool
@@ -31,8 +33,10 @@
         pool.live_runs.clear()
         pool.orphans.clear()
         self._calls.clear()
+        self._contacts.clear()
         for entry in pool.entries.values():
             self._see(entry, board)
+        self._contact_next(board)
         board.set_timer(SWEEP_TIMER, SWEEP_MS)
 
     def _renew_token(self, event: RightGained, board: InstanceBoard) -> None:
@@ -43,6 +47,7 @@
             self._contact_again(view, board)
         for entry in pool.entries.values():
             self._see(entry, board)
+        self._contact_next(board)
 
     def _deactivate(self, event: RightLost, board: InstanceBoard) -> None:
         pool = board.pool
@@ -52,18 +57,25 @@
         pool.live_runs.clear()
         pool.orphans.clear()
         self._calls.clear()
+        self._contacts.clear()
 
     def _contact_zone(self, zone: str, board: InstanceBoard) -> None:
         for view in board.pool.runners.values():
             if view.entry.zone == zone:
                 self._contact_again(view, board)
+        self._contact_next(board)
 
     def _contact_again(self, view: RunnerView, board: InstanceBoard) -> None:
         """Show a runner the fencing token in force and ask what it runs."""
         view.fenced = False
         view.contacted = False
         view.out_of_touch_since = board.now
-        holding.look(view, board, self._calls)
+        self._contacts.add(view.runner_id)
+
+    def _contact_next(self, board: InstanceBoard, least: int = 0) -> None:
+        """Ask some of the runners that wait for it what they run."""
+        for view in self._contacts.take(least, board.pool):
+            holding.look(view, board, self._calls)
 
     def _take_list(
         self, entries: tuple[RunnerEntry, ...], board: InstanceBoard
@@ -81,6 +93,7 @@
         for view in list(pool.runners.values()):
             if view.runner_id not in pool.entries:
                 self._note_missing(view, board)
+        self._contact_next(board)
         pool.changed = True
 
     def _take_offer(
@@ -101,6 +114,7 @@
             pool.entries[entry.runner_id] = entry
             if pool.active:
                 self._see(entry, board)
+        self._contact_next(board)
 
     def _entries_may_be_missing(self, board: InstanceBoard) -> bool:
         """Return whether entries that lapsed in an outage may not be back yet."""
@@ -121,7 +135,7 @@
         if view is None:
             view = RunnerView(entry, entry.capacity, out_of_touch_since=board.now)
             pool.runners[entry.runner_id] = view
-            holding.look(view, board, self._calls)
+            self._contacts.add(entry.runner_id)
             return
         if entry.draining and not view.entry.draining:
             board.log("runner_draining", runner=entry.runner_id)
--- /dev/null
+++ b/sassafrasloft/runs/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions about runs."""
--- a/sassafrasloft/testing/fleet/tests/test_takeover.py
+++ b/sassafrasloft/testing/fleet/tests/test_takeover.py
@@ -1,6 +1,8 @@
 """What a scheduler serves right after it took over from one that is out of reach."""
 
+from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.leadership import Role
+from sassafrasloft.testing.fleet.processor import WorkCosts
 from sassafrasloft.testing.fleet.tests.situations import (
     ORDER,
     completed,
@@ -76,3 +78,43 @@
         world.register(entry)
     world.run(4_000)
     assert len(world.instances[new].core.board.pool.runners) == len(entries)
+
+
+def latest_beat_of_successor(world, old):
+    """Kill the scheduler; return how late a beat of its successor came."""
+    world.kill(old)
+    latest = 0
+    for _ in range(80):
+        world.run(10)
+        for one in world.instances.values():
+            if one.alive and one.core.board.rights.role is Role.SCHEDULING:
+                latest = max(latest, one.core.board.rights.late_ms)
+    return latest
+
+
+def test_a_takeover_does_not_keep_the_successor_from_its_beats():
+    """Guards against a successor that is late from contacting all runners at once.
+
+    A beat that is later than a standstill of the machine would limit the intake.
+    """
+    world = settled_world(runners=40, costs=WorkCosts())
+    latest = latest_beat_of_successor(world, scheduler_of(world))
+    assert latest <= Tuning().standstill_ms
+    board = world.instances[scheduler_of(world)].core.board
+    assert all(view.contacted for view in board.pool.runners.values())
+
+
+def test_runners_that_do_not_answer_do_not_hold_up_the_contact_of_others():
+    """Guards against a window of contacts that unreachable runners fill."""
+    world = settled_world(runners=40)
+    silent = [name for name, one in world.runners.items() if one.entry.zone == "north"]
+    world.cut = lambda one, other: one in silent or other in silent
+    world.run(1_500)
+    world.kill(scheduler_of(world))
+    world.run(400)
+    board = world.instances[scheduler_of(world)].core.board
+    assert all(
+        view.contacted
+        for view in board.pool.runners.values()
+        if view.runner_id not in silent
+    )
