--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -2,6 +2,7 @@
 
 from sassafrasloft.blackboard import Controller, Event, TimerFired
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.gateway import handing_in
 from sassafrasloft.gateway.answers import AnswerKind, CallerAnswer
 from sassafrasloft.gateway.intake import IntakeShare
 from sassafrasloft.gateway.requests import OpenJob
@@ -15,6 +16,7 @@
     JobRequested,
     JobStateRequested,
     QueueRequested,
+    SchedulerBeat,
     SchedulerMessage,
     TargetChanged,
     TargetLost,
@@ -61,6 +63,7 @@
         GatewayMessage,
         TargetChanged,
         TargetLost,
+        SchedulerBeat,
         TimerFired,
     )
 
@@ -81,6 +84,8 @@
             self._drop(event, board)
         elif isinstance(event, TargetChanged):
             self._change_target(event, board)
+        elif isinstance(event, SchedulerBeat):
+            self._hand_in_more(board)
         elif isinstance(event, TargetLost):
             self._lose_target(event, board)
         elif isinstance(event, JobStateRequested):
@@ -333,6 +338,11 @@
             if overlapped and job.former_revision:
                 # The lost scheduler was at work beside this one.
                 job.settled_at = self._lost_at + _settling_ms(board)
+        handing_in.begin(board.requests.jobs.values(), board.requests)
+        self._hand_in_more(board)
+
+    def _hand_in_more(self, board: InstanceBoard) -> None:
+        for job in handing_in.next_batch(board.requests):
             self._submit(job, board)
 
     def _lose_target(self, event: TargetLost, board: InstanceBoard) -> None:
@@ -340,6 +350,7 @@
             return
         self._target = NO_TARGET
         self._lost_at = board.now
+        board.requests.handing_in.clear()
         for job in board.requests.jobs.values():
             if job.sent_to_current:
                 job.former_revision = 0 if self._acting else event.revision
--- a/sassafrasloft/gateway/requests.py
+++ b/sassafrasloft/gateway/requests.py
@@ -1,5 +1,7 @@
 """Open requests of an instance's own callers."""
 
+from collections import deque
+
 import attrs
 
 from sassafrasloft.clock import Milliseconds
@@ -47,6 +49,8 @@
     """Job requests by request id."""
     questions: dict[int, tuple[str, str]] = attrs.field(factory=dict)
     """Other requests: their kind, and the job or route that they ask for."""
+    handing_in: deque[str] = attrs.field(factory=deque)
+    """Jobs that wait for their turn to be handed in to another scheduler."""
     tasks_offered: int = 0
     """Of all jobs that callers handed in so far, those refused at once included."""
 
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -213,6 +213,11 @@
     revision: int = 0
 
 
+@attrs.frozen
+class SchedulerBeat(Event):
+    """The scheduler has sent a beat while open jobs wait to be handed in."""
+
+
 @attrs.frozen
 class SchedulerMessage(Event):
     """A message for the scheduler from a stream or, as 0, from this instance."""
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -10,6 +10,7 @@
     GatewayMessage,
     MessageReceived,
     RunnersOffered,
+    SchedulerBeat,
     SchedulerMessage,
     StopRequested,
     StoreItemChanged,
@@ -129,6 +130,7 @@
         if rights.role in (Role.SCHEDULING, Role.ACTING):
             self._limit_intake(board)
             self._judge_slowness(offered, board)
+            self._tell_of_beat(board)
             self._followers.beat(board)
             if rights.role is Role.ACTING:
                 self._leave_if_fenced(board)
@@ -243,9 +245,15 @@
         rights.target_late_ms = message.late_ms
         rights.intake_share = message.intake_share
         rights.borne = message.borne
+        self._tell_of_beat(board)
         if message.roster is not None:
             rights.roster = message.roster
 
+    @staticmethod
+    def _tell_of_beat(board: InstanceBoard) -> None:
+        if board.requests.handing_in:
+            board.post(SchedulerBeat())
+
     def _take_hello(
         self, stream: StreamState, message: Hello, board: InstanceBoard
     ) -> None:
--- a/sassafrasloft/testing/fleet/tests/test_overload.py
+++ b/sassafrasloft/testing/fleet/tests/test_overload.py
@@ -152,3 +152,24 @@
     jobs = load.run(OVERLOAD, 1_000)
     world.run(500)
     assert share(jobs, is_complete) > 0.95
+
+
+def test_a_scheduler_that_dies_in_an_overload_has_one_successor():
+    """Guards against a takeover that costs the successor the right as well.
+
+    All instances hand in hundreds of open jobs again on top of the load.
+    """
+    world = settled_world(seed=1, costs=WorkCosts())
+    load = Load(world)
+    load.run(NORMAL, 1_500)
+    load.run(FAR_OVERLOAD, 1_000)
+    dead = scheduler_of(world)
+    world.kill(dead)
+    load.names.remove(dead)
+    load.run(FAR_OVERLOAD, 1_500)
+    load.run(NORMAL, RECOVERY_MS)
+    jobs = load.run(NORMAL, 1_000)
+    world.run(500)
+    moves = counted(world, "rights_won") - 1 + counted(world, "acting_rights_used")
+    assert moves == 1
+    assert share(jobs, is_complete) > 0.95
