Keep the parser and the read buffer of calls

Cause: each response got a new parser, and asyncio.Protocol reads into a new buffer of 256 KB.

Change: a connection keeps its parser, and a client has one buffer for all reads. A response after which another one begins closes its connection, since the kept parser would take the rest for the next call's (the test fails with the check taken out: the next call is broken).

--- a/sassafrasloft/event_loop/http_client.py
+++ b/sassafrasloft/event_loop/http_client.py
@@ -16,6 +16,10 @@
 """A value of 1 MB is at most 6 MB as JSON; a longer body is not read."""
 
 
+READ_BYTES = 65_536
+"""Taken from a connection at once."""
+
+
 class CallFault(StrEnum):
     """Why a call has no response."""
 
@@ -73,6 +77,8 @@
         self._open: dict[str, int] = {}
         self._waiting: dict[str, deque[_Call]] = {}
         self._deadlines: Deadlines | None = None
+        self.buffer = bytearray(READ_BYTES)
+        """For the bytes of one read; shared, since each is handled at once."""
         self.connections_made = 0
 
     def send(
@@ -155,7 +161,7 @@
             self._dispatch(address, waiting.popleft())
 
 
-class _ClientConnection(asyncio.Protocol):
+class _ClientConnection(asyncio.BufferedProtocol):
     """One connection to a server; one call at a time."""
 
     def __init__(self, client: HttpClient, address: str) -> None:
@@ -163,9 +169,10 @@
         self._address = address
         self._transport: asyncio.Transport | None = None
         self._call: _Call | None = None
-        self._parser: httptools.HttpResponseParser | None = None
+        self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._size = 0
+        self._responses = 0
         self._complete = False
         self._keep = False
         self.alive = True
@@ -178,25 +185,33 @@
         """Send a request."""
         self._call = call
         call.connection = self
-        self._parser = httptools.HttpResponseParser(self)
         self._body = []
         self._size = 0
+        self._responses = 0
         self._complete = False
         self._transport.write(call.request)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where the next bytes are to be written."""
+        return self._client.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse what arrived."""
         if self._call is None:
             self.abort()
             return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(memoryview(self._client.buffer)[:nbytes])
         except httptools.HttpParserError:
             self.abort()
             return
         if self._complete:
             self._finish()
 
+    def on_message_begin(self) -> None:
+        """Count the responses that have begun."""
+        self._responses += 1
+
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
         self._size += len(body)
@@ -212,7 +227,9 @@
         call, self._call = self._call, None
         call.connection = None
         status = self._parser.get_status_code()
-        keep = self._keep and self._size <= MAX_RESPONSE_BYTES
+        # More than one response would pass for that of the next call.
+        one = self._responses == 1
+        keep = self._keep and one and self._size <= MAX_RESPONSE_BYTES
         if keep:
             self._client.free(self._address, self)
         else:
--- a/sassafrasloft/event_loop/tests/test_http.py
+++ b/sassafrasloft/event_loop/tests/test_http.py
@@ -202,3 +202,45 @@
         assert [(await one).status for one in calls] == [200, 200]
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("surplus", [b"HTTP/1.1 200", b"HTTP/1.1 200 OK\r\nX: 1\r\n"])
+def test_the_begin_of_a_second_response_does_not_reach_the_next_call(surplus):
+    """Guards against a parser, kept between calls, that goes on with stray bytes."""
+
+    async def scenario():
+        async def answer(reader, writer):
+            while await reader.readuntil(b"\r\n\r\n"):
+                response = HttpResponse(200, b"own").to_bytes(close=False)
+                writer.write(response + surplus)
+
+        server = await asyncio.start_server(answer, HOST, 0)
+        address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        client = HttpClient(1)
+        for _ in range(3):
+            assert await call(client, address) == CallResponse(200, b"own")
+        assert client.connections_made == 3
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_response_in_many_parts_is_whole():
+    async def scenario():
+        async def answer(reader, writer):
+            while await reader.readuntil(b"\r\n\r\n"):
+                data = HttpResponse(200, b"x" * 200_000).to_bytes(close=False)
+                for first in range(0, len(data), 9_999):
+                    writer.write(data[first : first + 9_999])
+                    await writer.drain()
+
+        server = await asyncio.start_server(answer, HOST, 0)
+        address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        client = HttpClient(1)
+        for _ in range(2):
+            response = await call(client, address)
+            assert response == CallResponse(200, b"x" * 200_000)
+        assert client.connections_made == 1
+        server.close()
+
+    asyncio.run(scenario())
