--- a/sassafrasloft/event_loop/log_output.py
+++ b/sassafrasloft/event_loop/log_output.py
@@ -19,6 +19,8 @@
 FAILED_LINES_PER_SECOND = 400
 """Lines of failed requests and warnings."""
 _SECOND_MS: Milliseconds = 1_000
+# Kept, since json.dumps with options makes an encoder for each line.
+_ENCODER = json.JSONEncoder(default=str)
 
 
 class LogOutput:
@@ -66,7 +68,7 @@
         if self._unreported:
             line["dropped_lines"] = self._unreported
             self._unreported = 0
-        self._buffer.append(json.dumps(line, default=str).encode() + b"\n")
+        self._buffer.append(_ENCODER.encode(line).encode() + b"\n")
         self.flush()
 
     def _admit(self, important: bool) -> bool:
