Do not count timeouts against runners while the scheduler is late itself

Change: orders may take twice the lateness of the last beat longer, 300 ms at most; a timeout that is noticed more than 20 ms late is not counted as silence.

--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -77,7 +77,7 @@
         view = board.pool.runners.get(call.runner_id)
         if view is None:
             return
-        holding.note_answer(view, event, call.kind, board)
+        holding.note_answer(view, event, call, board)
         if self._contacts.note_answer(view.runner_id):
             self._contact_next(board)
         reply = event.reply
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -18,6 +18,13 @@
 
 LOOK_TIMEOUT_FACTOR = 2
 """A first contact may take longer than an order: many go out at once."""
+LATE_ROUNDS = 2
+"""A connection is made in one round of a late event loop and used in the next."""
+LONGEST_DELAY_MS = 300
+"""Of an order, because this instance is late: with `order_timeout_ms` a stop is still
+sent again before a lease ends."""
+NOTICED_LATE_MS = 20
+"""A timeout that is noticed this late was not waited for in this process."""
 CLOCK_DRIFT = 0.02
 """Runners' clocks may be this much slow."""
 
@@ -30,6 +37,11 @@
     runner_id: str
     run: Run | None
     token: int
+    times_out_at: Milliseconds
+
+    def noticed_late(self, now: Milliseconds) -> bool:
+        """Return whether this instance was late itself as the call timed out."""
+        return now - self.times_out_at > NOTICED_LATE_MS
 
 
 Calls = dict[int, Call]
@@ -46,8 +58,10 @@
 ) -> int:
     """Send an order and remember what it was for; return the call's id."""
     call_id = board.fresh_id()
-    calls[call_id] = Call(kind, view.runner_id, run, order.fencing_token)
     timeout_ms = timeout_ms or board.tuning.order_timeout_ms
+    timeout_ms += min(LONGEST_DELAY_MS, LATE_ROUNDS * board.rights.late_ms)
+    token, until = order.fencing_token, board.now + timeout_ms
+    calls[call_id] = Call(kind, view.runner_id, run, token, until)
     entry = view.entry
     board.emit(CallRunner(call_id, entry.runner_id, entry.address, order, timeout_ms))
     return call_id
@@ -138,11 +152,18 @@
 
 
 def note_answer(
-    view: RunnerView, event: RunnerReplied, kind: str, board: InstanceBoard
+    view: RunnerView, event: RunnerReplied, call: Call, board: InstanceBoard
 ) -> None:
-    """Learn the runner's clock and whether it answers."""
-    reply = event.reply
+    """Learn the runner's clock and whether it answers.
+
+    Load pattern: an overloaded scheduler notices timeouts before answers that wait to
+    be read, and before connections that wait to be used.
+    """
+    reply, kind = event.reply, call.kind
     silent = reply.outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT)
+    if silent and call.noticed_late(board.now):
+        board.count("timeouts_noticed_late")
+        return
     if silent:
         view.unanswered += 1
         if view.out_of_touch_since < 0:
--- /dev/null
+++ b/sassafrasloft/runs/tests/test_late_answers.py
@@ -0,0 +1,56 @@
+"""What a scheduler that is late itself makes of runners that do not answer."""
+
+import pytest
+
+from sassafrasloft.instance.commands import CallRunner
+from sassafrasloft.instance.events import RunnerReplied
+from sassafrasloft.runs.holding import LONGEST_DELAY_MS, call_runner, note_answer
+from sassafrasloft.runs.orders import OrderOutcome, StartReply, StopRun
+from sassafrasloft.testing.fleet.tests.situations import scheduler_of, settled_world
+
+
+@pytest.fixture
+def board():
+    world = settled_world(runners=1)
+    return world.instances[scheduler_of(world)].core.board
+
+
+def stop_sent(board):
+    """Send a stop to a runner; return the runner, the call and the command."""
+    view = next(iter(board.pool.runners.values()))
+    calls = {}
+    call_id = call_runner(view, "stop", StopRun(1, "task", 1), None, board, calls)
+    command = board.take_commands()[-1]
+    assert isinstance(command, CallRunner)
+    return view, calls[call_id], command
+
+
+def time_out(view, call, board, noticed_after_ms):
+    board.now = call.times_out_at + noticed_after_ms
+    event = RunnerReplied(1, StartReply(OrderOutcome.NOT_SENT))
+    note_answer(view, event, call, board)
+
+
+def test_a_timeout_that_was_noticed_late_says_nothing_about_the_runner(board):
+    """Guards against free runners that an overloaded scheduler does not use."""
+    view, call, _ = stop_sent(board)
+    time_out(view, call, board, 100)
+    assert view.unanswered == 0
+    assert board.counters["timeouts_noticed_late"] == 1
+
+
+def test_a_timeout_in_time_counts_against_the_runner(board):
+    """Guards against using a runner that does not answer."""
+    view, call, _ = stop_sent(board)
+    time_out(view, call, board, 5)
+    assert view.unanswered == 1
+
+
+@pytest.mark.parametrize(
+    ("late_ms", "longer_ms"), [(0, 0), (50, 100), (1_000, LONGEST_DELAY_MS)]
+)
+def test_a_late_scheduler_waits_longer_for_answers(board, late_ms, longer_ms):
+    """Guards against orders that time out before the event loop comes to them."""
+    board.rights.late_ms = late_ms
+    _, _, command = stop_sent(board)
+    assert command.timeout_ms == board.tuning.order_timeout_ms + longer_ms
