Let an acting scheduler go on from the load that was borne

Cause: an instance that began to act as scheduler kept the measure of an earlier time as scheduler, or none, and told its followers of it. Change: both ways to become scheduler begin from what the last one said. Before and after: test_load_passed_on.py failed with the store down, and passes.

--- a/sassafrasloft/leadership/roles.py
+++ b/sassafrasloft/leadership/roles.py
@@ -87,12 +87,17 @@
         promotion = search.promotion if search else None
         if promotion is not None:
             rights.intake_share = promotion.intake_share
-        self._intake.begin(rights.intake_share)
         pause_ms = promotion.pause_ms if promotion else 0
-        self._slowness.begin(pause_ms or SLOW_RETRY_MS, rights.borne, board.now)
+        self._begin_measuring(pause_ms or SLOW_RETRY_MS, board)
         board.post(RightGained(rights.base_token, ""))
         board.post(TargetChanged(OWN_INSTANCE, since=board.now))
 
+    def _begin_measuring(self, pause_ms: Milliseconds, board: InstanceBoard) -> None:
+        """Go on from what the last scheduler said of the load."""
+        rights = board.rights
+        self._intake.begin(rights.intake_share)
+        self._slowness.begin(pause_ms, rights.borne, board.now)
+
     def _announce_to(
         self, stream_id: int, record: RightRecord, board: InstanceBoard
     ) -> None:
@@ -160,7 +165,7 @@
         board.log("acting_scheduler", "WARNING", zone=zone, token=token)
         board.count("acting_rights_used")
         self._followers.begin(board)
-        self._intake.begin(rights.intake_share)
+        self._begin_measuring(SLOW_RETRY_MS, board)
         board.post(RightGained(rights.base_token, zone, acting=True))
         board.post(TargetChanged(OWN_INSTANCE, acting=True))
 
