Count work instead of time in the test of late beats

The test's clock also ran by real time, so that a busy machine could have failed it. It now moves by the declared work of the messages alone.

--- a/sassafrasloft/event_loop/tests/test_fairness.py
+++ b/sassafrasloft/event_loop/tests/test_fairness.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import os
-import time
 from itertools import pairwise
 from types import SimpleNamespace
 
 import pytest
 
 from sassafrasloft.blackboard import Event, SetTimer, TimerFired
-from sassafrasloft.clock import Clock
+from sassafrasloft.clock import ManualClock
 from sassafrasloft.event_loop.log_output import LogOutput
 from sassafrasloft.event_loop.process import InstanceProcess
 from sassafrasloft.instance.commands import CallStore
@@ -26,19 +25,6 @@
 TUNING = Tuning()
 
 
-class WorkClock(Clock):
-    """Real time and, on top of it, the declared time of the work that was done."""
-
-    def __init__(self):
-        self.worked_ms = 0
-
-    def seconds(self):
-        return time.monotonic() + self.worked_ms / 1_000
-
-    def now(self):
-        return int(self.seconds() * 1_000)
-
-
 class WorkCore:
     """A core in which each message takes 1 ms and timers are set again."""
 
@@ -53,7 +39,7 @@
         self.steps.append((self._clock.now(), event))
         if isinstance(event, MessageReceived) and isinstance(event.message, QueryQueue):
             self.messages += 1
-            self._clock.worked_ms += STEP_MS
+            self._clock.advance(STEP_MS)
         if isinstance(event, TimerFired):
             return [SetTimer(event.name, now + self._periods[event.name])]
         return []
@@ -63,14 +49,14 @@
 
 
 class WorkLoop(asyncio.SelectorEventLoop):
-    """An event loop whose timers follow the declared time."""
+    """An event loop whose time is that of the work that was done, not real time."""
 
     def __init__(self, clock):
         super().__init__()
         self._work_clock = clock
 
     def time(self):
-        return self._work_clock.seconds()
+        return self._work_clock.now() / 1_000
 
 
 class SlowStore:
@@ -82,7 +68,7 @@
 
 def run_under_work(scenario, periods):
     """Run a scenario with a process whose messages take 1 ms each."""
-    clock = WorkClock()
+    clock = ManualClock(1_000)
     core = WorkCore(clock, periods)
 
     async def main():
@@ -107,9 +93,8 @@
 
 
 async def until(condition):
-    async with asyncio.timeout(20):
-        while not condition():
-            await asyncio.sleep(0)
+    while not condition():
+        await asyncio.sleep(0)
 
 
 def longest_gap(times):
