Notice runs that stand still after a fifth of their expected duration

Cause: a run without progress was looked at only when it was overdue, at 2.5 times its expected duration: an order of 900 ms whose caller waits 1,500 was never started elsewhere, and one that came to a halt midway put no runner in quarantine. Change: a run keeps when its progress last rose. Without any for a fifth of its expected duration, and 60 ms, it counts as standing still: its runner is put in quarantine and it may be started elsewhere. A long run whose progress no list has told is looked for then.

--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -109,6 +109,7 @@
         if outcome is OrderOutcome.DONE:
             run.accepted_at = board.now
             run.accepted_id = board.fresh_id()
+            run.progress_at = max(run.progress_at, board.now)
             view.lost_starts = 0
             if run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 run.state = RunState.RUNNING
@@ -199,8 +200,7 @@
                 self._stop_unknown(view, one.task, one.number, board)
 
     def _note_running(self, run: Run, percent: float, board: InstanceBoard) -> None:
-        run.percent_done = percent
-        run.percent_read_at = board.now
+        run.note_progress(percent, board.now)
         if run.state in (RunState.STARTING, RunState.UNCERTAIN):
             run.state = RunState.RUNNING
             run.accepted_at = board.now
--- a/sassafrasloft/runs/health.py
+++ b/sassafrasloft/runs/health.py
@@ -121,6 +121,11 @@
         if run.state is not RunState.RUNNING or run.adopted:
             continue
         elapsed = board.now - run.accepted_at
+        if _stands_still(run):
+            quarantine(view, "tasks make no progress", board)
+            slowness = current_slowness(view, board.now)
+            board.post(RunOverdue(run, elapsed, float("inf"), slowness))
+            continue
         expected = run.expected_here_ms
         limit = tuning.overdue_factor * expected + tuning.overdue_slack_ms
         if elapsed <= limit:
@@ -128,14 +133,18 @@
         if run.percent_read_at < run.accepted_at + expected:
             unknown = True
             continue
-        if run.percent_done <= 0:
-            quarantine(view, "tasks make no progress", board)
         remaining = _remaining_ms(run, elapsed)
         slowness = current_slowness(view, board.now)
         board.post(RunOverdue(run, elapsed, remaining, slowness))
     return unknown
 
 
+def _stands_still(run: Run) -> bool:
+    """Return whether the lists have shown no progress for too long."""
+    since = run.percent_read_at - run.progress_at
+    return run.progress_at >= 0 and since >= run.stall_ms
+
+
 def _remaining_ms(run: Run, elapsed: Milliseconds) -> float:
     if run.percent_done <= 0:
         return float("inf")
--- a/sassafrasloft/runs/holding.py
+++ b/sassafrasloft/runs/holding.py
@@ -18,6 +18,8 @@
 
 LOOK_TIMEOUT_FACTOR = 2
 """A first contact may take longer than an order: many go out at once."""
+LONG_RUN_MS = 500
+"""The answers of waiting holds show the progress of shorter runs, or their ends."""
 CLOCK_DRIFT = 0.02
 """Runners' clocks may be this much slow."""
 
@@ -114,25 +116,37 @@
             look(view, board, calls)
         return
     due = view.lease_until - tuning.lease_ms + tuning.renewal_ms + SWEEP_SLACK_MS
-    if board.pool.keeps_runs(view) and (board.now >= due or end_is_late(view, board)):
+    if board.pool.keeps_runs(view) and (board.now >= due or look_is_due(view, board)):
         look(view, board, calls)
     continue_holding(view, board, calls)
 
 
-def end_is_late(view: RunnerView, board: InstanceBoard) -> bool:
-    """Return whether a run should have ended, and was not looked for lately."""
-    tuning = board.tuning
-    if board.now - view.tried_at < tuning.look_again_ms:
+def look_is_due(view: RunnerView, board: InstanceBoard) -> bool:
+    """Return whether a list would tell news, and was not asked for lately."""
+    if board.now - view.tried_at < board.tuning.look_again_ms:
         return False
-    latest = board.now - tuning.late_end_slack_ms
     return any(
         run.state is RunState.RUNNING
-        and run.percent_read_at < run.accepted_at + run.expected_here_ms
-        and run.accepted_at + tuning.late_end_factor * run.expected_here_ms < latest
+        and (_end_is_late(run, board) or _progress_is_unknown(run, board.now))
         for run in view.runs.values()
     )
 
 
+def _end_is_late(run: Run, board: InstanceBoard) -> bool:
+    tuning = board.tuning
+    latest = board.now - tuning.late_end_slack_ms
+    return (
+        run.percent_read_at < run.accepted_at + run.expected_here_ms
+        and run.accepted_at + tuning.late_end_factor * run.expected_here_ms < latest
+    )
+
+
+def _progress_is_unknown(run: Run, now: Milliseconds) -> bool:
+    """Return whether a long run may stand still since its start."""
+    due = run.accepted_at + run.stall_ms
+    return run.expected_here_ms >= LONG_RUN_MS and run.percent_read_at < due <= now
+
+
 SWEEP_SLACK_MS = 60
 """A renewal by the waiting hold may be this late before another look is sent."""
 
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -43,6 +43,14 @@
         return rack in self.labels
 
 
+STALL_SHARE = 0.2
+"""Of a run's expected duration: without progress for so long it stands still. Runners
+tell whole percents, and the longest tasks take four times as long as expected."""
+SHORTEST_STALL_MS = 60
+"""About what one percent of a task of 200 ms takes that is four times as long, on a
+runner that is eight times slow."""
+
+
 class RunState(StrEnum):
     """How far a run is, as its scheduler believes."""
 
@@ -75,6 +83,8 @@
     """By our clock, at the latest; then the runner has ended the run."""
     percent_done: float = 0.0
     percent_read_at: Milliseconds = -1
+    progress_at: Milliseconds = -1
+    """When it was accepted, or a list last showed that more of it was done."""
     adopted: bool = False
     """Whether an earlier scheduler started it."""
     away_factor: float = 1.0
@@ -85,6 +95,18 @@
         """The expected duration on a sound runner of this rack."""
         return self.expected_ms * self.away_factor
 
+    @property
+    def stall_ms(self) -> float:
+        """After how long without progress it is taken to stand still."""
+        return max(SHORTEST_STALL_MS, STALL_SHARE * self.expected_here_ms)
+
+    def note_progress(self, percent: float, now: Milliseconds) -> None:
+        """Take what a list says of how much is done."""
+        if percent > self.percent_done or self.progress_at < 0:
+            self.progress_at = now
+        self.percent_done = percent
+        self.percent_read_at = now
+
 
 @attrs.define(eq=False)
 class RunnerView:
--- a/sassafrasloft/standins/lease_runner.py
+++ b/sassafrasloft/standins/lease_runner.py
@@ -38,6 +38,8 @@
         When its work is done; it then ends as `end`.
     stops_at : int
         When a stop takes effect; -1 if none was ordered.
+    halted_percent : float
+        What is done of a run that makes no progress any more; -1 of any other.
     """
 
     task: str
@@ -47,6 +49,7 @@
     ends_at: float
     end: RunEnd
     stops_at: Milliseconds = -1
+    halted_percent: float = -1.0
 
 
 @attrs.frozen
@@ -186,6 +189,11 @@
         away = task.rack and task.rack not in self.entry.labels
         return task.duration_ms * self.slowness * (AWAY_FACTOR if away else 1.0)
 
+    def halt(self, run: StandinRun, now: Milliseconds) -> None:
+        """Let a run make no progress any more."""
+        run.halted_percent = _percent(run, now)
+        run.ends_at = float("inf")
+
     def free(self) -> Resources:
         """Return the room that is left; runs that are being stopped still count."""
         room = self.entry.capacity
@@ -228,6 +236,8 @@
 
 
 def _percent(run: StandinRun, now: Milliseconds) -> float:
+    if run.halted_percent >= 0:
+        return run.halted_percent
     duration = run.ends_at - run.started_at
     if duration == float("inf") or duration <= 0:
         return 0.0
--- a/sassafrasloft/testing/fleet/tests/test_unhealthy_runners.py
+++ b/sassafrasloft/testing/fleet/tests/test_unhealthy_runners.py
@@ -6,14 +6,20 @@
 
 import pytest
 
+from sassafrasloft.standins.lease_runner import StandinTask
 from sassafrasloft.testing.fleet.runner_faults import StartFault
 from sassafrasloft.testing.fleet.tests.situations import (
+    ORDER,
     completed,
     in_time,
+    others,
     scheduler_of,
     settled_world,
     spread,
+    submit_order,
 )
+from sassafrasloft.testing.fleet.world import simple_job
+from sassafrasloft.workload import Resources
 
 RUNNERS_IN_ZONE = 4
 
@@ -130,3 +136,46 @@
         assert in_time(during) >= 19, f"seed {seed}"
         assert in_time(after) >= 19, f"seed {seed}"
         assert all(world.runners[one].token for one in cut)
+
+
+def test_orders_on_runners_where_work_stands_still_are_in_time_elsewhere():
+    """Guards against long tasks that are noticed only when they are long overdue.
+
+    An order takes 900 ms, and its caller waits 1,500: a run that makes no progress has
+    to be noticed in 500, or in half of that if the next runner fails, too.
+    """
+    world = settled_world(runners=RUNNERS_IN_ZONE)
+    for runner_id in list(world.runners)[::5]:
+        world.runners[runner_id].hangs = True
+    orders = spread(world, 20, gap_ms=150, submit=submit_order)
+    world.run(2_500)
+    assert sum(completed(job) and job.waited_ms <= 1_500 for job in orders) == 20
+
+
+def test_an_order_whose_runner_comes_to_a_halt_midway_ends_elsewhere():
+    """Guards against progress that is taken for granted once it has begun."""
+    world = settled_world(runners=RUNNERS_IN_ZONE)
+    job = simple_job(1, 2, 14_000, 900)
+    order = world.submit(job, ORDER, others(world)[0], deadline_ms=4_000)
+    world.run(300)
+    for runner in world.runners.values():
+        for run in runner.running.values():
+            runner.halt(run, world.now)
+    world.run(2_500)
+    assert completed(order)
+    assert order.waited_ms <= 2_000
+    board = world.instances[scheduler_of(world)].core.board
+    assert any(view.quarantines for view in board.pool.runners.values())
+
+
+def test_tasks_that_last_four_times_as_long_are_not_taken_for_stalled():
+    """Guards against work that is thrown away since its progress is slow."""
+    world = settled_world(runners=RUNNERS_IN_ZONE)
+    jobs = []
+    for number in range(1, 9):
+        for task in range(2):
+            name = f"{number:016x}.0.0.{task}"
+            world.durations[name] = StandinTask(Resources(14_000, 64, 0), 3_600)
+        jobs.append(submit_order(world, number, others(world)[number % 7]))
+    world.run(5_000)
+    assert all(world.audit.starts[job.job.job_id] == 2 for job in jobs)
