Let an instance that starts cut off claim only a lapsed right

Cause: a process that has just started knows no other instances. A connection to the scheduler that could not be made was enough for it to claim the right; the others could not reach it and claimed the right back. Change: without a roster, a scheduler that is out of reach or does not answer keeps its right until its lease ends. One that refuses connections is still replaced at once. Risk: after a loss of power at all instances, one that starts before the holder's machine answers waits for the end of its lease, 2 s at most.

--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -176,7 +176,7 @@
             if event.refused:
                 self._search.evidence = "its instance refuses connections"
             elif event.timed_out:
-                self._search.evidence = "its instance cannot be reached"
+                self._search.evidence = seeking.OUT_OF_REACH
             self._step_search(board)
 
     def _take_message(self, event: MessageReceived, board: InstanceBoard) -> None:
--- a/sassafrasloft/leadership/search_steps.py
+++ b/sassafrasloft/leadership/search_steps.py
@@ -52,7 +52,7 @@
                 return
             del board.rights.streams[waiting.stream_id]
             board.emit(CloseStream(waiting.stream_id))
-            search.evidence = "its instance does not answer"
+            search.evidence = seeking.NO_ANSWER
         if board.now < search.connect_at:
             return
         search.connect_at = board.now + seeking.RETRY_MS
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -31,6 +31,8 @@
 """Period of the steps of a search, in milliseconds."""
 RETRY_MS = 150
 """Between attempts to connect to a holder, in milliseconds."""
+OUT_OF_REACH = "its instance cannot be reached"
+NO_ANSWER = "its instance does not answer"
 
 
 @attrs.define(eq=False)
@@ -186,7 +188,9 @@
     if rights.record_absent:
         return True
     if not rights.roster:
-        return rights.record is not None and bool(search.evidence)
+        # If own links may be what fails, only the end of the lease decides.
+        own_links = search.evidence in ("", OUT_OF_REACH, NO_ANSWER)
+        return rights.record is not None and not own_links
     return search.vote_started_at >= 0 and majority_lost(search, board)
 
 
--- a/sassafrasloft/testing/fleet/tests/test_cuts.py
+++ b/sassafrasloft/testing/fleet/tests/test_cuts.py
@@ -61,6 +61,29 @@
     assert world.instances[lonely].ready
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_an_instance_that_starts_cut_off_takes_no_right(seed):
+    """Guards against a right that changes hands eleven times a second.
+
+    A new process knows no other instances. It reached the store, but not the
+    scheduler, and took the right; most instances took it back at once.
+    """
+    world = settled_world(seed=seed)
+    scheduler = scheduler_of(world)
+    lonely = others(world)[0]
+    world.kill(lonely)
+    world.run(200)
+    instances = set(world.instances)
+    world.cut = lambda one, other: lonely in (one, other) and {one, other} <= instances
+    world.start_instance(lonely, zone_of(world, lonely))
+    job = submit_order(world, 1, others(world)[1])
+    world.run(4_000)
+    assert scheduler_of(world) == scheduler
+    assert completed(job)
+    events = [line.event for one in world.instances.values() for _, line in one.log]
+    assert events.count("right_won") == 1
+
+
 @pytest.mark.parametrize("store_too", [True, False])
 @pytest.mark.parametrize("with_scheduler", [True, False])
 def test_a_zone_that_is_cut_off_serves_on_its_own_runners(store_too, with_scheduler):
