--- a/sassafrasloft/event_loop/http_client.py
+++ b/sassafrasloft/event_loop/http_client.py
@@ -4,17 +4,22 @@
 from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
+from functools import partial
 
 import attrs
 import httptools
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.event_loop.deadlines import Deadline, Deadlines
 
-_MS_IN_SECOND = 1_000
 MAX_RESPONSE_BYTES = 8_000_000
 """A value of 1 MB is at most 6 MB as JSON; a longer body is not read."""
 
 
+READ_BYTES = 65_536
+"""Taken from a connection at once."""
+
+
 class CallFault(StrEnum):
     """Why a call has no response."""
 
@@ -40,15 +45,15 @@
 class _Call:
     request: bytes
     done: OnDone
-    timer: asyncio.TimerHandle | None = None
+    deadline: Deadline | None = None
     connection: "_ClientConnection | None" = None
     connecting: "asyncio.Task | None" = None
 
     def finish(self, result: CallResponse | CallFault) -> None:
         """Report the result, once."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        if self.deadline is not None:
+            self.deadline.cancel()
+            self.deadline = None
         done, self.done = self.done, _ignore
         done(result)
 
@@ -71,16 +76,20 @@
         self._idle: dict[str, list[_ClientConnection]] = {}
         self._open: dict[str, int] = {}
         self._waiting: dict[str, deque[_Call]] = {}
+        self._deadlines: Deadlines | None = None
+        self.buffer = bytearray(READ_BYTES)
+        """For the bytes of one read; shared, since each is handled at once."""
         self.connections_made = 0
 
     def send(
         self, address: str, request: bytes, timeout_ms: Milliseconds, done: OnDone
     ) -> None:
         """Send a request; `done` is called once, with a response or a fault."""
-        loop = asyncio.get_running_loop()
+        if self._deadlines is None:
+            self._deadlines = Deadlines(asyncio.get_running_loop())
         call = _Call(request, done)
-        call.timer = loop.call_later(
-            timeout_ms / _MS_IN_SECOND, self._time_out, address, call
+        call.deadline = self._deadlines.set(
+            timeout_ms, partial(self._time_out, address, call)
         )
         self._dispatch(address, call)
 
@@ -111,13 +120,13 @@
             return
         self.connections_made += 1
         call.connecting = None
-        if call.timer is None:
+        if call.deadline is None:
             self.free(address, connection)
         else:
             connection.send(call)
 
     def _time_out(self, address: str, call: _Call) -> None:
-        call.timer = None
+        call.deadline = None
         if call.connecting is not None:
             call.connecting.cancel()
             return
@@ -152,7 +161,7 @@
             self._dispatch(address, waiting.popleft())
 
 
-class _ClientConnection(asyncio.Protocol):
+class _ClientConnection(asyncio.BufferedProtocol):
     """One connection to a server; one call at a time."""
 
     def __init__(self, client: HttpClient, address: str) -> None:
@@ -160,9 +169,10 @@
         self._address = address
         self._transport: asyncio.Transport | None = None
         self._call: _Call | None = None
-        self._parser: httptools.HttpResponseParser | None = None
+        self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._size = 0
+        self._responses = 0
         self._complete = False
         self._keep = False
         self.alive = True
@@ -175,25 +185,33 @@
         """Send a request."""
         self._call = call
         call.connection = self
-        self._parser = httptools.HttpResponseParser(self)
         self._body = []
         self._size = 0
+        self._responses = 0
         self._complete = False
         self._transport.write(call.request)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where the next bytes are to be written."""
+        return self._client.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse what arrived."""
         if self._call is None:
             self.abort()
             return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(memoryview(self._client.buffer)[:nbytes])
         except httptools.HttpParserError:
             self.abort()
             return
         if self._complete:
             self._finish()
 
+    def on_message_begin(self) -> None:
+        """Count the responses that have begun."""
+        self._responses += 1
+
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
         self._size += len(body)
@@ -209,7 +227,9 @@
         call, self._call = self._call, None
         call.connection = None
         status = self._parser.get_status_code()
-        keep = self._keep and self._size <= MAX_RESPONSE_BYTES
+        # More than one response would pass for that of the next call.
+        one = self._responses == 1
+        keep = self._keep and one and self._size <= MAX_RESPONSE_BYTES
         if keep:
             self._client.free(self._address, self)
         else:
--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -2,7 +2,9 @@
 
 from sassafrasloft.blackboard import Controller, Event, TimerFired
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.gateway import handing_in
 from sassafrasloft.gateway.answers import AnswerKind, CallerAnswer
+from sassafrasloft.gateway.intake import IntakeShare
 from sassafrasloft.gateway.requests import OpenJob
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import AnswerCaller, SendMessage
@@ -14,6 +16,7 @@
     JobRequested,
     JobStateRequested,
     QueueRequested,
+    SchedulerBeat,
     SchedulerMessage,
     TargetChanged,
     TargetLost,
@@ -60,6 +63,7 @@
         GatewayMessage,
         TargetChanged,
         TargetLost,
+        SchedulerBeat,
         TimerFired,
     )
 
@@ -68,6 +72,7 @@
         self._checking = False
         self._acting = False
         self._lost_at = 0
+        self._intake = IntakeShare()
 
     def react(self, event: Event, board: InstanceBoard) -> None:
         """Handle requests, answers and changes of the scheduler."""
@@ -79,6 +84,8 @@
             self._drop(event, board)
         elif isinstance(event, TargetChanged):
             self._change_target(event, board)
+        elif isinstance(event, SchedulerBeat):
+            self._hand_in_more(board)
         elif isinstance(event, TargetLost):
             self._lose_target(event, board)
         elif isinstance(event, JobStateRequested):
@@ -142,12 +149,17 @@
         self, event: JobRequested, route: Route, board: InstanceBoard
     ) -> None:
         requests = board.requests
-        requests.job_of[event.request_id] = event.job.job_id
         known = requests.jobs.get(event.job.job_id)
         if known is not None:
+            requests.job_of[event.request_id] = event.job.job_id
             known.requests.add(event.request_id)
             return
+        requests.tasks_offered += sum(step.count for step in event.job.steps)
         remaining = event.remaining_ms or route.timeout_ms
+        if not self._intake.admits(route, remaining, board.rights.intake_share):
+            self._refuse_at_once(event, board)
+            return
+        requests.job_of[event.request_id] = event.job.job_id
         objective = route.objective_ms(event.job.chain_ms())
         job = OpenJob(event.job, route, board.now, board.now + remaining, objective)
         job.requests.add(event.request_id)
@@ -158,6 +170,18 @@
         board.count("requests_taken")
         self._submit(job, board)
 
+    def _refuse_at_once(self, event: JobRequested, board: InstanceBoard) -> None:
+        board.count("jobs_beyond_intake")
+        board.log_request(
+            "job_beyond_intake",
+            failed=True,
+            job=event.job.job_id,
+            share=round(board.rights.intake_share, 2),
+        )
+        retry = board.tuning.shortest_retry_after_s
+        answer = CallerAnswer(AnswerKind.REFUSED, "the scheduler is overloaded", retry)
+        self._answer(event.request_id, answer, board)
+
     def _submit(self, job: OpenJob, board: InstanceBoard) -> None:
         if self._target == NO_TARGET:
             self._start_checking(board)
@@ -313,6 +337,11 @@
             if overlapped and job.former_revision:
                 # The lost scheduler was at work beside this one.
                 job.settled_at = self._lost_at + _settling_ms(board)
+        handing_in.begin(board.requests.jobs.values(), board.requests)
+        self._hand_in_more(board)
+
+    def _hand_in_more(self, board: InstanceBoard) -> None:
+        for job in handing_in.next_batch(board.requests):
             self._submit(job, board)
 
     def _lose_target(self, event: TargetLost, board: InstanceBoard) -> None:
@@ -320,6 +349,7 @@
             return
         self._target = NO_TARGET
         self._lost_at = board.now
+        board.requests.handing_in.clear()
         for job in board.requests.jobs.values():
             if job.sent_to_current:
                 job.former_revision = 0 if self._acting else event.revision
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -21,6 +21,13 @@
     """The process is to stop without cutting off requests."""
 
 
+@attrs.frozen
+class BacklogMeasured(Event):
+    """How long the oldest event has waited that is not handled yet."""
+
+    waited_ms: Milliseconds
+
+
 @attrs.frozen
 class StoreReplied(Event):
     """Reply to `CallStore`."""
@@ -213,6 +220,11 @@
     revision: int = 0
 
 
+@attrs.frozen
+class SchedulerBeat(Event):
+    """The scheduler has sent a beat while open jobs wait to be handed in."""
+
+
 @attrs.frozen
 class SchedulerMessage(Event):
     """A message for the scheduler from a stream or, as 0, from this instance."""
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -15,6 +15,8 @@
 
 _KINDS: dict[str, type["Message"]] = {}
 _NAMES: dict[type["Message"], str] = {}
+# Kept, since each new one gets a buffer of 256 KB.
+_PACKER = msgpack.Packer()
 MessageClass = TypeVar("MessageClass", bound=type["Message"])
 
 MAX_MESSAGE_BYTES = 4_000_000
@@ -45,7 +47,7 @@
 
 def encode_message(message: Message) -> bytes:
     """Return the bytes of a message."""
-    return msgpack.packb([_NAMES[type(message)], *to_packed(message)])
+    return _PACKER.pack([_NAMES[type(message)], *to_packed(message)])
 
 
 def decode_message(value: object) -> Message:
@@ -150,9 +152,19 @@
 @register_message("beat")
 @attrs.frozen
 class Beat(Message):
-    """A sign of life; from the scheduler with the roster if that has changed."""
+    """A sign of life; from the scheduler with the roster if that has changed.
+
+    `late_ms` is how late the sender's timer for it was. `intake_share` is the share
+    of new jobs that the receiver may hand in to the sender. `offered` counts the tasks
+    that callers handed in at the sender since its last beat, and `borne` is the highest
+    load in tasks a second that a scheduler is known to have borne.
+    """
 
     roster: tuple[RosterEntry, ...] | None = None
+    late_ms: Milliseconds = 0
+    intake_share: float = 1.0
+    offered: int = 0
+    borne: float = 0.0
 
 
 @register_message("heard_query")
@@ -271,9 +283,15 @@
 @register_message("promote")
 @attrs.frozen
 class Promote(Message):
-    """The scheduler is about to stop: the receiver is to take over the right."""
+    """The scheduler is about to stop: the receiver is to take over the right.
+
+    `intake_share` is the share of new jobs that it is to allow at first. For `pause_ms`
+    it does not hand over for slowness; 0 if the sender says nothing about this.
+    """
 
     revision: int
+    intake_share: float = 1.0
+    pause_ms: Milliseconds = 0
 
 
 @attrs.frozen
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -78,6 +78,9 @@
     silence_ms: Milliseconds = 250
     """Without any message for this long a stream is taken for dead: an instance may
     stand still for 100 when its share of a processor is used up."""
+    busy_silence_ms: Milliseconds = 700
+    """The same for an instance that said how late it is: three standstills of 100 more
+    than `silence_ms`, and still a third of the lease of a right."""
     connect_timeout_ms: Milliseconds = 80
     """A connection takes under 5 between zones."""
     rank_delay_ms: Milliseconds = 30
@@ -91,6 +94,15 @@
     """An acting scheduler that is alive gives its runners back within this."""
     absence_ms: Milliseconds = 10_000
     """After this an instance no longer counts towards a majority."""
+    busy_beat_ms: Milliseconds = 20
+    """A scheduler whose beats are later than this has work that waits: a third of the
+    objective of short jobs (60)."""
+    standstill_ms: Milliseconds = 60
+    """A single beat that is later than this is taken for work until the next one is in
+    time: of standstills of up to 100 half are shorter."""
+    backlog_ms: Milliseconds = 200
+    """Waiting work of this long halves the intake: it is to be gone before short jobs
+    behind it are late twice over."""
     slow_beat_ms: Milliseconds = 40
     """A scheduler whose beats are this late on average has too little processor."""
     slow_beats: int = 10
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -5,11 +5,13 @@
 from sassafrasloft.instance.commands import CloseStream, SendMessage, SetReadiness
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
+    BacklogMeasured,
     ConfigurationAdopted,
     ConfigurationOffered,
     GatewayMessage,
     MessageReceived,
     RunnersOffered,
+    SchedulerBeat,
     SchedulerMessage,
     StopRequested,
     StoreItemChanged,
@@ -50,6 +52,7 @@
 )
 from sassafrasloft.leadership.search_steps import SchedulerSearch
 from sassafrasloft.leadership.seeking import Search
+from sassafrasloft.leadership.silence import longest_silence
 from sassafrasloft.leadership.state import RightRecord, Role, StreamState
 
 _TO_SCHEDULER = (SubmitJob, CancelJob, QueryJob, QueryQueue)
@@ -61,6 +64,7 @@
     """Owns `board.rights`."""
 
     handles = (
+        BacklogMeasured,
         Started,
         StoreItemChanged,
         StoreReplied,
@@ -97,6 +101,8 @@
             self._take_opened(event.stream_id, board)
         elif isinstance(event, StreamClosed):
             self._take_closed(event, board)
+        elif isinstance(event, BacklogMeasured):
+            self._backlog_ms = event.waited_ms
         elif isinstance(event, StopRequested):
             self._begin_stop(board)
         elif isinstance(event, Started):
@@ -123,13 +129,20 @@
 
     def _beat(self, board: InstanceBoard) -> None:
         rights = board.rights
+        offered = board.requests.tasks_offered - self._offered_before
+        self._offered_before = board.requests.tasks_offered
         if rights.role in (Role.SCHEDULING, Role.ACTING):
+            self._limit_intake(board)
+            self._judge_slowness(offered, board)
+            self._tell_of_beat(board)
             self._followers.beat(board)
             if rights.role is Role.ACTING:
                 self._leave_if_fenced(board)
         elif rights.role is Role.FOLLOWING:
-            board.emit(SendMessage(rights.target, Beat()))
-            if board.now - rights.target_heard_at > board.tuning.silence_ms:
+            beat = Beat(late_ms=rights.late_ms, offered=offered)
+            board.emit(SendMessage(rights.target, beat))
+            silent_ms = board.now - rights.target_heard_at
+            if silent_ms > longest_silence(rights.target_late_ms, board):
                 self._lose_target("silent", True, board)
         self._close_idle(board)
 
@@ -204,8 +217,10 @@
     ) -> None:
         rights = board.rights
         if isinstance(message, Beat):
-            if message.roster is not None and stream.stream_id == rights.target:
-                rights.roster = message.roster
+            stream.late_ms = message.late_ms
+            stream.offered += message.offered
+            if stream.stream_id == rights.target:
+                self._take_target_beat(message, board)
         elif isinstance(message, ConfigurationOffer):
             board.post(ConfigurationOffered(message.document))
         elif isinstance(message, RunnersOffer):
@@ -229,6 +244,20 @@
         elif isinstance(message, SchedulerMoved):
             self._take_moved(stream, message, board)
 
+    def _take_target_beat(self, message: Beat, board: InstanceBoard) -> None:
+        rights = board.rights
+        rights.target_late_ms = message.late_ms
+        rights.intake_share = message.intake_share
+        rights.borne = message.borne
+        self._tell_of_beat(board)
+        if message.roster is not None:
+            rights.roster = message.roster
+
+    @staticmethod
+    def _tell_of_beat(board: InstanceBoard) -> None:
+        if board.requests.handing_in:
+            board.post(SchedulerBeat())
+
     def _take_hello(
         self, stream: StreamState, message: Hello, board: InstanceBoard
     ) -> None:
@@ -261,6 +290,7 @@
         rights.role = Role.FOLLOWING
         rights.target = stream.stream_id
         rights.target_heard_at = board.now
+        rights.target_late_ms = 0
         rights.target_acting = message.acting
         rights.target_address = stream.address
         rights.target_zone = message.zone
@@ -324,11 +354,12 @@
     ) -> None:
         if board.stopping.requested or stream.stream_id != board.rights.target:
             return
-        if self.slow(board):
+        if self._slowness.is_slow(board.tuning):
             return
         board.rights.known_revision = max(board.rights.known_revision, message.revision)
         if self._search is None:
             self._search = Search(board.now, "the scheduler is about to stop")
+        self._search.promotion = message
         if not self._search.claim_call:
             seeking.begin_claim(self._search, board)
 
--- a/sassafrasloft/leadership/seeking.py
+++ b/sassafrasloft/leadership/seeking.py
@@ -13,7 +13,14 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CallStore, OpenStream, SendMessage
-from sassafrasloft.instance.messages import HeardQuery, HeardReply, Hello, RosterEntry
+from sassafrasloft.instance.messages import (
+    HeardQuery,
+    HeardReply,
+    Hello,
+    Promote,
+    RosterEntry,
+)
+from sassafrasloft.leadership.silence import longest_silence
 from sassafrasloft.leadership.state import RightRecord, StreamState
 from sassafrasloft.metadata import (
     GrantLease,
@@ -61,6 +68,8 @@
     """The revision that the claim replaces: of the holder found to be gone."""
     claim_failed: bool = False
     """Whether the store did not answer the last claim."""
+    promotion: Promote | None = None
+    """What the scheduler said as it asked this instance to take over."""
 
     def turn_to_new_holder(self) -> None:
         """Discard the evidence against the former holder."""
@@ -151,7 +160,9 @@
 
 def someone_hears(search: Search, board: InstanceBoard) -> bool:
     """Return whether the scheduler is alive for another instance."""
-    fresh = FRESH_BEATS * board.tuning.beat_ms
+    tuning = board.tuning
+    silence = longest_silence(board.rights.target_late_ms, board)
+    fresh = FRESH_BEATS * tuning.beat_ms + silence - tuning.silence_ms
     return any(
         reply.revision >= board.rights.known_revision and 0 <= reply.silent_ms <= fresh
         for reply in fresh_replies(search, board)
--- a/sassafrasloft/testing/fleet/edges.py
+++ b/sassafrasloft/testing/fleet/edges.py
@@ -44,6 +44,8 @@
 )
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin
 from sassafrasloft.testing.event_queue import Action
+from sassafrasloft.testing.fleet.processor import Processor
+from sassafrasloft.testing.fleet.runner_faults import StartFault
 from sassafrasloft.workload import JobRequest, Route
 
 UPTIME_MS = 5_000_000
@@ -96,6 +98,7 @@
     requests: dict[int, TestJob] = attrs.field(factory=dict)
     log: list[tuple[float, WriteLog]] = attrs.field(factory=list)
     next_stream: int = 1 << 40
+    processor: Processor = attrs.field(factory=Processor)
     unsent: dict[int, list[Action]] = attrs.field(factory=dict)
     """What waits on streams for the end of a cut, in order."""
 
@@ -207,6 +210,8 @@
         if runner is None or self.cut(instance.name, command.runner_id):
             return
         order = command.order
+        if isinstance(order, StartRun) and self._start_fails(instance, command):
+            return
         if not isinstance(order, HoldRuns) and self.random.random() < self.late_orders:
             delay = self.random.uniform(200, 3_000)
             self.queue.after(delay, lambda: self._take_late(command))
@@ -221,6 +226,15 @@
             return
         self._send_reply(instance, command, reply)
 
+    def _start_fails(self, instance: Instance, command: CallRunner) -> bool:
+        """Let a start meet the fault of its runner; return whether there is one."""
+        fault = self.runner_faults.meet_start(command.runner_id, instance.zone)
+        if fault is StartFault.REFUSED:
+            self._send_reply(instance, command, StartReply(OrderOutcome.UNHEALTHY))
+        elif fault is StartFault.RESET:
+            self._send_reply(instance, command, StartReply(OrderOutcome.UNKNOWN))
+        return fault is not None
+
     def _take_late(self, command: CallRunner) -> None:
         runner = self.runners.get(command.runner_id)
         if runner is not None:
@@ -265,6 +279,8 @@
     ) -> None:
         if self.cut(command.runner_id, instance.name):
             return
+        if self.runner_faults.loses_answer(command.runner_id, self.random):
+            return
         self.queue.after(HOP_MS, lambda: self._runner_replies(instance, command, reply))
 
     def _runner_replies(
@@ -387,7 +403,34 @@
         if instance.frozen:
             instance.held.append(event)
             return
-        for command in instance.core.step(event, self.now):
+        if self.costs is not None:
+            instance.processor.waiting.append(event)
+            self._work(instance)
+            return
+        self._finish(instance, instance.core.step(event, self.now))
+
+    def _work(self, instance: Instance) -> None:
+        """Handle the next waiting event; its commands follow once it is handled."""
+        processor = instance.processor
+        if processor.busy or not processor.waiting:
+            return
+        event = processor.waiting.popleft()
+        processor.busy = True
+        commands = instance.core.step(event, self.now)
+        duration = self.costs.of(event, commands) / processor.cores
+        processor.busy_ms += duration
+        self.queue.after(duration, lambda: self._end_work(instance, commands))
+
+    def _end_work(self, instance: Instance, commands: list[Command]) -> None:
+        instance.processor.busy = False
+        if not instance.alive:
+            return
+        self._finish(instance, commands)
+        if not instance.frozen:
+            self._work(instance)
+
+    def _finish(self, instance: Instance, commands: list[Command]) -> None:
+        for command in commands:
             self._carry_out(instance, command)
         board = instance.core.board
         self.audit.used_version(board.incarnation, board.configuration.current.version)
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -11,7 +11,11 @@
 from sassafrasloft.instance.settings import InstanceSettings
 from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.runs import RunnerEntry
-from sassafrasloft.standins.lease_runner import LeaseRunnerStandin, StandinTask
+from sassafrasloft.standins.lease_runner import (
+    AWAY_FACTOR,
+    LeaseRunnerStandin,
+    StandinTask,
+)
 from sassafrasloft.standins.metadata_store import MetadataStoreStandin
 from sassafrasloft.testing.event_queue import EventQueue
 from sassafrasloft.testing.fleet.auditing import FleetAudit
@@ -23,6 +27,8 @@
     Instance,
     TestJob,
 )
+from sassafrasloft.testing.fleet.processor import Processor, WorkCosts
+from sassafrasloft.testing.fleet.runner_faults import RunnerFaults
 from sassafrasloft.traces import TraceParent
 from sassafrasloft.workload import (
     JobRequest,
@@ -44,6 +50,12 @@
         In each zone.
     seed : int
     tuning : Tuning, optional
+    capacity : int
+        Of each runner, in millicores.
+    costs : WorkCosts, optional
+        Processor time of the instances' work; none is charged without it.
+    cores : dict, optional
+        Of instances that have not one core, by name.
     """
 
     def __init__(
@@ -53,6 +65,8 @@
         seed: int = 1,
         tuning: Tuning | None = None,
         capacity: int = 32_000,
+        costs: WorkCosts | None = None,
+        cores: dict[str, float] | None = None,
     ) -> None:
         self.queue = EventQueue()
         # A machine has been up for a while when the first process starts.
@@ -62,6 +76,8 @@
         self.store = MetadataStoreStandin()
         self.audit = FleetAudit()
         self.tuning = tuning
+        self.costs = costs
+        self.cores = cores or {}
         self.runners: dict[str, LeaseRunnerStandin] = {}
         self.instances: dict[str, Instance] = {}
         self.jobs: dict[str, TestJob] = {}
@@ -83,6 +99,7 @@
         """How late the timers of an instance are, in milliseconds."""
         self.lost_holds = 0.0
         """Share of holds that get no answer."""
+        self.runner_faults = RunnerFaults()
         self.durations: dict[str, StandinTask] = {}
         self.dark: set[str] = set()
         """Machines without power: connections to them are not refused."""
@@ -148,13 +165,27 @@
             return self.durations[name]
         job_id, _, step, _ = name.split(".")
         request = self.jobs[job_id].job.steps[int(step)]
-        return StandinTask(request.demand, float(request.estimate_ms))
+        return StandinTask(
+            request.demand, float(request.estimate_ms), rack=request.preferred_rack
+        )
 
     def start_instance(self, name: str, zone: str) -> Instance:
         """Start a process."""
         address = f"address-of-{name}"
         seeds = tuple(one.address for one in list(self.instances.values())[:3])
-        settings = InstanceSettings(name, zone, "", "", address, "", "", seeds=seeds)
+        cores = self.cores.get(name, 1.0)
+        settings = InstanceSettings(
+            name,
+            zone,
+            "",
+            "",
+            address,
+            "",
+            "",
+            cores=cores,
+            away_factor=AWAY_FACTOR,
+            seeds=seeds,
+        )
         core = create_instance(
             settings,
             self.documents,
@@ -163,7 +194,7 @@
             strict=True,
         )
         self.dark.discard(name)
-        instance = Instance(name, zone, address, core)
+        instance = Instance(name, zone, address, core, processor=Processor(cores))
         self.instances[name] = instance
         self.queue.after(
             self.random.randrange(20), lambda: self.tell(instance, Started())
@@ -203,6 +234,7 @@
         """Resume a process."""
         instance = self.instances[name]
         instance.frozen = False
+        self._work(instance)
         held, instance.held = instance.held, []
         for event in held:
             self.tell(instance, event)
