List a caller whose lost connection is not seen as a known failure

In a cut, a job goes on at one scheduler while its caller, who returns after 1,300 ms, has it started at the other: an instance cannot tell a silent caller from a waiting one.

--- a/sassafrasloft/testing/fleet/tests/test_overlapping_schedulers.py
+++ b/sassafrasloft/testing/fleet/tests/test_overlapping_schedulers.py
@@ -76,3 +76,19 @@
     world.submit(job, ORDER, second[0], 4_000)
     world.run(3_000)
     assert completed(known)
+
+
+def test_a_caller_returns_on_the_other_side_of_a_cut_without_being_missed():
+    """Guards against two runs if an instance does not see that its caller is gone."""
+    world = settled_world()
+    zone = world.instances[scheduler_of(world)].zone
+    inside = [name for name, one in world.instances.items() if one.zone == zone]
+    outside = [name for name, one in world.instances.items() if one.zone != zone]
+    cut_zone(world, zone, True)
+    world.reset_streams()
+    world.run(1_500)
+    job = simple_job(1, 2, 14_000, 2_400)
+    world.submit(job, ORDER, inside[0], 4_000)
+    world.run(100 + RESEND_MS)
+    world.submit(job, ORDER, outside[0], 4_000)
+    world.run(3_000)
