--- a/sassafrasloft/gateway/handing_in.py
+++ b/sassafrasloft/gateway/handing_in.py
@@ -17,7 +17,10 @@
     """Let jobs wait for their turn; first those that may have run."""
     ordered = sorted(jobs, key=lambda job: not job.sent)
     requests.handing_in.clear()
-    requests.handing_in.extend(job.job.job_id for job in ordered)
+    for job in ordered:
+        # An instance that becomes the scheduler itself has not lost the last one.
+        job.sent_to_current = False
+        requests.handing_in.append(job.job.job_id)
 
 
 def next_batch(requests: OpenRequests) -> Iterator[OpenJob]:
--- a/sassafrasloft/gateway/tests/test_handing_in.py
+++ b/sassafrasloft/gateway/tests/test_handing_in.py
@@ -38,3 +38,12 @@
     begin(requests.jobs.values(), requests)
     del requests.jobs[names[1]]
     assert batch(requests) == [names[0], names[2]]
+
+
+def test_jobs_that_the_last_scheduler_had_are_handed_in_to_this_one():
+    """Guards against jobs without an answer at an instance that takes over itself."""
+    requests = open_jobs(2, sent={0, 1})
+    for job in requests.jobs.values():
+        job.sent_to_current = True
+    begin(requests.jobs.values(), requests)
+    assert batch(requests) == list(requests.jobs)
