Drop waiting events of a stream that the core closes

A job of a follower that was given up as silent could be taken without anyone to answer. Messages of one read were told after it before, too.

Change: a closed stream's waiting events are dropped, and the rest of a read of it is not told.

The new cases of test_fairness.py without the change: 285 messages told where the core had closed the stream after 1, 330 after 50.

--- a/sassafrasloft/event_loop/inbound.py
+++ b/sassafrasloft/event_loop/inbound.py
@@ -8,6 +8,7 @@
 
 from sassafrasloft.blackboard import Event, TimerFired
 from sassafrasloft.clock import Clock, Milliseconds
+from sassafrasloft.instance.events import MessageReceived, StreamClosed, StreamOpened
 from sassafrasloft.instance.urgency import is_urgent
 
 TURN_MS: Milliseconds = 5
@@ -22,6 +23,8 @@
 """A timer passes the events before it after this. Runners' leases, of 900, are renewed
 by a timer 310 after the last renewal."""
 
+_STREAM_EVENTS = (MessageReceived, StreamOpened, StreamClosed)
+
 
 @attrs.define(eq=False)
 class _Waiting:
@@ -86,6 +89,13 @@
         if waiting is not None:
             waiting.taken = True
 
+    def forget_stream(self, stream_id: int) -> None:
+        """Drop what waits of a stream that the core has closed."""
+        for waiting in self._waiting:
+            event = waiting.event
+            if isinstance(event, _STREAM_EVENTS) and event.stream_id == stream_id:
+                waiting.taken = True
+
     def waited_ms(self) -> Milliseconds:
         """Return how long the oldest event has waited; 0 if there is none."""
         if not self._waiting:
--- a/sassafrasloft/event_loop/process.py
+++ b/sassafrasloft/event_loop/process.py
@@ -166,6 +166,10 @@
         self._inbound.forget_timer(command.name)
         self._timers.set(command.name, command.due_ms)
 
+    def _close_stream(self, command: CloseStream) -> None:
+        self._streams.close(command.stream_id)
+        self._inbound.forget_stream(command.stream_id)
+
     def _pause_reading(self, paused: bool) -> None:
         self._log.write("WARNING", "reading_paused", (("paused", paused),))
         self._streams.pause_reading(paused)
@@ -179,7 +183,7 @@
             OpenStream: lambda one: streams.open(
                 one.stream_id, one.address, one.timeout_ms
             ),
-            CloseStream: lambda one: streams.close(one.stream_id),
+            CloseStream: self._close_stream,
             SendMessage: lambda one: streams.send(one.stream_id, one.message),
             AnswerCaller: lambda one: self.callers_server.answer(
                 one.request_id, self._callers.write(one.answer)
--- a/sassafrasloft/event_loop/streams.py
+++ b/sassafrasloft/event_loop/streams.py
@@ -112,7 +112,12 @@
             self._tell(StreamClosed(stream.stream_id))
 
     def received(self, stream: "_MessageStream", value: object) -> bool:
-        """Hand on a message; return whether it could be read."""
+        """Hand on a message; return whether it could be read.
+
+        Nothing is told of a stream that was closed, as by the message before this one.
+        """
+        if self._streams.get(stream.stream_id) is not stream:
+            return True
         try:
             message = decode_message(value)
         except MessageMalformed as error:
--- a/sassafrasloft/event_loop/tests/test_fairness.py
+++ b/sassafrasloft/event_loop/tests/test_fairness.py
@@ -11,7 +11,7 @@
 from sassafrasloft.clock import ManualClock
 from sassafrasloft.event_loop.log_output import LogOutput
 from sassafrasloft.event_loop.process import InstanceProcess
-from sassafrasloft.instance.commands import CallStore
+from sassafrasloft.instance.commands import CallStore, CloseStream
 from sassafrasloft.instance.events import MessageReceived, StoreReplied
 from sassafrasloft.instance.messages import Beat, QueryQueue, encode_message
 from sassafrasloft.instance.tuning import Tuning
@@ -34,12 +34,15 @@
         self._periods = periods
         self.steps: list[tuple[int, Event]] = []
         self.messages = 0
+        self.close_after = 0
 
     def step(self, event, now):
         self.steps.append((self._clock.now(), event))
         if isinstance(event, MessageReceived) and isinstance(event.message, QueryQueue):
             self.messages += 1
             self._clock.advance(STEP_MS)
+            if self.messages == self.close_after:
+                return [CloseStream(event.stream_id)]
         if isinstance(event, TimerFired):
             return [SetTimer(event.name, now + self._periods[event.name])]
         return []
@@ -155,3 +158,21 @@
     (reply,) = core.times_of(is_reply)
     assert beat - sent_at[0] <= TUNING.beat_ms
     assert reply - sent_at[0] <= TUNING.beat_ms
+
+
+@pytest.mark.parametrize("close_after", [1, 50])
+def test_messages_that_wait_are_dropped_when_the_core_closes_their_stream(close_after):
+    """Guards against jobs that are taken from a follower which was given up."""
+    work = encode_message(QueryQueue("a")) * MESSAGES
+
+    async def scenario(process, port):
+        process._core.close_after = close_after
+        writer = await hand_in(port, work)
+        await until(lambda: process._core.messages)
+        await until(lambda: not process._streams._streams)
+        for _ in range(50):
+            await asyncio.sleep(0)
+        writer.close()
+
+    core = run_under_work(scenario, {})
+    assert core.messages == close_after
--- a/sassafrasloft/event_loop/tests/test_inbound.py
+++ b/sassafrasloft/event_loop/tests/test_inbound.py
@@ -44,7 +44,7 @@
             self.queue.put(MessageReceived(number, WORK))
 
     def streams_taken(self):
-        return [one.stream_id for one in self.taken]
+        return [one.stream_id for one in self.taken if hasattr(one, "stream_id")]
 
 
 def test_a_turn_takes_a_few_milliseconds_and_events_keep_their_order():
@@ -118,6 +118,19 @@
     assert situation.streams_taken() == [0, 1, 2]
 
 
+def test_nothing_is_told_of_a_stream_after_the_core_has_closed_it():
+    """Guards against jobs that are taken from a follower which was given up."""
+    situation = Situation()
+    situation.fill(3)
+    situation.queue.put(MessageReceived(1, WORK))
+    situation.queue.put(StreamClosed(1))
+    situation.queue.put(TimerFired(TIMER))
+    situation.queue.forget_stream(1)
+    situation.turn()
+    assert situation.streams_taken()[:2] == [0, 2]
+    assert situation.taken[2:] == [TimerFired(TIMER)]
+
+
 def test_reading_pauses_at_the_bound_and_goes_on_below_it():
     """Guards against a queue that grows without a bound."""
     situation = Situation()
