--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -337,7 +337,6 @@
             if overlapped and job.former_revision:
                 # The lost scheduler was at work beside this one.
                 job.settled_at = self._lost_at + _settling_ms(board)
-            job.sent_to_current = False
         handing_in.begin(board.requests.jobs.values(), board.requests)
         self._hand_in_more(board)
 
