--- a/sassafrasloft/event_loop/http_server.py
+++ b/sassafrasloft/event_loop/http_server.py
@@ -13,6 +13,10 @@
 """How long a connection stays open after an error response, so that the client
 reads it before a reset for unread bytes."""
 
+ACCEPTED_S = 0.02
+"""After the last connection was accepted: its transport is made in the loop's next
+turns."""
+
 
 class HttpApplication(Protocol):
     """What answers the requests of a server."""
@@ -54,9 +58,13 @@
 
     def close_listener(self) -> None:
         """Accept no more connections and close the idle ones."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        server, self._server = self._server, None
+        if server is not None:
+            loop = asyncio.get_running_loop()
+            for listening in server.sockets:
+                loop.remove_reader(listening.fileno())
+            # asyncio serves what it has accepted only while the server is open.
+            loop.call_later(ACCEPTED_S, server.close)
         for connection in list(self._connections):
             connection.close_if_idle()
 
