Read the list of runners anew before tasks of a predecessor start

Cause: the entries of a zone's runners had lapsed when the successor read its stale list, each 3 s, and were back when the scheduler was killed. The successor, all of whose known runners had answered, started tasks that were at work on the others. The list that it asked for as it gained the right could be a stale one too. Change: jobs of a predecessor wait until a list has been read since the right was gained, or until earlier leases have ended; that list is never stale. Open: entries that are still lapsed as the successor reads the list.

--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -55,7 +55,9 @@
             self._watch(board)
             self._list_runners(board)
         elif isinstance(event, RightGained):
-            self._list_runners(board)
+            # An open call may bring a list from before the right was gained.
+            self._runners_call = 0
+            self._list_runners(board, fresh=True)
         elif isinstance(event, ConfigurationOffered):
             self._adopt(event.document, "another instance", board)
         elif isinstance(event, TimerFired):
@@ -157,10 +159,11 @@
 
     # Runners
 
-    def _list_runners(self, board: InstanceBoard) -> None:
+    def _list_runners(self, board: InstanceBoard, fresh: bool = False) -> None:
         if self._runners_call:
             return
-        stale = not board.pool.active and board.pool.entries_read_at >= 0
+        known = board.pool.entries_read_at >= 0
+        stale = known and not (fresh or board.pool.active)
         self._runners_call = board.fresh_id()
         operation = ListItems(board.documents.runners_prefix, may_be_stale=stale)
         timeout = board.tuning.store_timeout_ms
--- a/sassafrasloft/scheduling/earlier_runs.py
+++ b/sassafrasloft/scheduling/earlier_runs.py
@@ -18,8 +18,12 @@
     if 0 <= board.now - regained < tuning.missing_grace_ms and regained >= 0:
         # Runners that lost their entries may not be known yet.
         return True
-    lapse = tuning.lease_ms + tuning.lapse_margin_ms
-    return board.pool.unknown_runs_possible(board.now, lapse + tuning.silence_ms)
+    pool = board.pool
+    lapse = tuning.lease_ms + tuning.lapse_margin_ms + tuning.silence_ms
+    list_is_old = pool.entries_read_at <= pool.activated_at
+    if list_is_old and board.now - pool.activated_at <= lapse:
+        return True
+    return pool.unknown_runs_possible(board.now, lapse)
 
 
 def may_start(job: ScheduledJob, board: InstanceBoard) -> bool:
--- a/sassafrasloft/testing/fleet/tests/test_takeover.py
+++ b/sassafrasloft/testing/fleet/tests/test_takeover.py
@@ -1,5 +1,7 @@
 """What a scheduler serves right after it took over from one that is out of reach."""
 
+import pytest
+
 from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.leadership import Role
 from sassafrasloft.testing.fleet.processor import WorkCosts
@@ -118,3 +120,29 @@
         for view in board.pool.runners.values()
         if view.runner_id not in silent
     )
+
+
+@pytest.mark.parametrize("zone", ["north", "south"])
+def test_a_successor_with_an_old_list_of_runners_starts_no_task_again(zone):
+    """Guards against tasks that run on runners which the successor did not list yet.
+
+    Their entries had lapsed when it read its stale list, and were back since.
+    """
+    world = settled_world({"north": 2, "south": 2}, runners=2)
+    old = scheduler_of(world)
+    successor = min(name for name in world.instances if name != old)
+    entries = [it.entry for it in world.runners.values() if it.entry.zone == zone]
+    for entry in entries:
+        world.unregister(entry.runner_id)
+    board = world.instances[successor].core.board
+    while len(board.pool.entries) == len(world.runners):
+        world.run(10)
+    for entry in entries:
+        world.register(entry)
+    world.run(1_200)
+    jobs = [submit_order(world, number, successor) for number in range(3)]
+    world.run(100)
+    world.kill(old)
+    world.run(1_500)
+    assert scheduler_of(world) == successor
+    assert all(completed(job) for job in jobs)
