--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -77,7 +77,7 @@
         view = board.pool.runners.get(call.runner_id)
         if view is None:
             return
-        holding.note_answer(view, event, call.kind, board)
+        holding.note_answer(view, event, call, board)
         if self._contacts.note_answer(view.runner_id):
             self._contact_next(board)
         reply = event.reply
@@ -112,6 +112,7 @@
         if outcome is OrderOutcome.DONE:
             run.accepted_at = board.now
             run.accepted_id = board.fresh_id()
+            run.progress_at = max(run.progress_at, board.now)
             view.lost_starts = 0
             if run.state in (RunState.STARTING, RunState.UNCERTAIN):
                 run.state = RunState.RUNNING
@@ -225,8 +226,7 @@
                 self._stop_unknown(view, one.task, one.number, board)
 
     def _note_running(self, run: Run, percent: float, board: InstanceBoard) -> None:
-        run.percent_done = percent
-        run.percent_read_at = board.now
+        run.note_progress(percent, board.now)
         if run.state in (RunState.STARTING, RunState.UNCERTAIN):
             run.state = RunState.RUNNING
             run.accepted_at = board.now
