Keep what a scheduler hands over for as long as answers are kept

Cause: a scheduler forgot all that it had inherited once a second as soon as it had been active for 5 s, also what had just been handed over. A successor that had been at work beside the former scheduler for longer, as during a cut, took its handover as a report of all runs, forgot the runs, and started the tasks of jobs that were handed in after that moment.

Why it works: the age of what was handed over counts, not that of the right.

--- a/sassafrasloft/scheduling/job_keeping.py
+++ b/sassafrasloft/scheduling/job_keeping.py
@@ -97,6 +97,7 @@
             job = board.jobs.open.get(progress.job_id)
             if job is None:
                 board.jobs.inherited[progress.job_id] = progress
+                board.jobs.inherited_at = board.now
             else:
                 self._take_progress(job, progress, board)
         board.jobs.changed = True
@@ -367,5 +368,5 @@
             if at > oldest:
                 break
             del board.jobs.answers[job_id]
-        if board.now - board.pool.activated_at > board.tuning.answer_retention_ms:
+        if board.jobs.inherited_at <= oldest:
             board.jobs.inherited.clear()
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -210,6 +210,8 @@
     answers: dict[str, tuple[JobOutcome, Milliseconds]] = attrs.field(factory=dict)
     inherited: dict[str, JobProgress] = attrs.field(factory=dict)
     """What an earlier scheduler handed over, by job."""
+    inherited_at: Milliseconds = -1
+    """When the last of these were handed over."""
     handed_over: set[int] = attrs.field(factory=set)
     """Revisions of rights whose holders have reported all of their runs."""
     predecessor_known: bool = False
