Keep all other events of a step in which a controller fails

Cause: DecisionCore.step left at the first exception. Events that controllers had posted were taken already, and settle was skipped, so that a sound event beside a faulty one was lost, such as the end of a run: its runner's capacity stayed in use. InstanceActor counted faults in a field that no page shows and logged each of them. Change: exceptions are collected, the step is finished, then the first is raised with the others as notes. The actor counts core_faults and command_faults on the board and logs each fault once.

--- a/sassafrasloft/blackboard/decision_core.py
+++ b/sassafrasloft/blackboard/decision_core.py
@@ -1,6 +1,7 @@
 """The interface through which the I/O layer drives an instance's decisions."""
 
 from collections.abc import Sequence
+from typing import NoReturn
 
 from sassafrasloft.blackboard.board import Board, Command, Event
 from sassafrasloft.blackboard.controller import Controller
@@ -8,6 +9,8 @@
 
 MAX_ROUNDS = 1_000
 """Limit of rounds of posted events in a step; more indicate an endless loop."""
+MAX_NOTED_FAILURES = 10
+"""Limit of further exceptions of a step that are noted on the first one."""
 
 
 class DecisionCore:
@@ -62,31 +65,53 @@
         ------
         InvariantViolated
             If the auditor is strict and an invariant is violated.
+        Exception
+            The first exception of a controller; further ones are its notes. The step
+            is finished before it is raised, and its commands stay on the board.
         """
         board = self._board
         board.now = max(now, board.now)
+        failures: list[Exception] = []
         for controller in self._watchers:
-            controller.before(event, board)
+            try:
+                controller.before(event, board)
+            except Exception as error:
+                failures.append(error)
         pending = [*board.take_posted(), event]
         for _ in range(MAX_ROUNDS):
             for one in pending:
-                self._dispatch(one)
+                self._dispatch(one, failures)
             pending = board.take_posted()
             if pending:
                 continue
-            for controller in self._settlers:
-                controller.settle(board)
+            self._settle(failures)
             pending = board.take_posted()
             if not pending:
                 break
         else:
             raise RuntimeError(f"controllers post events without end: {pending[:3]}")
         board.last_event_ms = board.now
+        if failures:
+            _raise_first(failures)
         return board.take_commands()
 
-    def _dispatch(self, event: Event) -> None:
+    # An exception of one controller is collected and raised at the end of the step: the
+    # other controllers and events do not depend on it, and the I/O layer does not
+    # report an event twice.
+
+    def _dispatch(self, event: Event, failures: list[Exception]) -> None:
         for controller in self._route(type(event)):
-            controller.react(event, self._board)
+            try:
+                controller.react(event, self._board)
+            except Exception as error:
+                failures.append(error)
+
+    def _settle(self, failures: list[Exception]) -> None:
+        for controller in self._settlers:
+            try:
+                controller.settle(self._board)
+            except Exception as error:
+                failures.append(error)
 
     def _route(self, event_type: type[Event]) -> tuple[Controller, ...]:
         if event_type not in self._routes:
@@ -96,3 +121,11 @@
                 if issubclass(event_type, controller.handles)
             )
         return self._routes[event_type]
+
+
+def _raise_first(failures: list[Exception]) -> NoReturn:
+    """Raise the first exception of a step with the others as notes."""
+    first, *others = failures
+    for other in others[:MAX_NOTED_FAILURES]:
+        first.add_note(f"in the same step: {other!r}")
+    raise first
--- /dev/null
+++ b/sassafrasloft/blackboard/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decision core."""
--- a/sassafrasloft/event_loop/actor.py
+++ b/sassafrasloft/event_loop/actor.py
@@ -13,6 +13,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 CommandHandler = Callable[[Any], None]
+MAX_LOGGED_FAULTS = 100
+"""Limit of different faults that are logged; all faults are counted."""
 
 
 class _DirectInbox:
@@ -86,7 +88,7 @@
         self._core = core
         self._clock = clock
         self._command_handlers = command_handlers
-        self.faults = 0
+        self._logged_faults: set[tuple] = set()
 
     def on_receive(self, message: Any) -> None:
         """Have the core handle one event, then execute its commands."""
@@ -94,14 +96,31 @@
             raise TypeError(f"expected an event, found {type(message).__name__}")
         try:
             commands = self._core.step(message, self._clock.now())
-        except Exception:
+        except Exception as error:
             # An exception on one event must not end the process with all its requests.
-            self.faults += 1
-            _LOGGER.exception("the core failed on %s", type(message).__name__)
+            self._record_fault("core_faults", "the core failed on %s", message, error)
             commands = self._core.board.take_commands()
         for command in commands:
             try:
                 self._command_handlers[type(command)](command)
-            except Exception:
-                self.faults += 1
-                _LOGGER.exception("command %s failed", type(command).__name__)
+            except Exception as error:
+                self._record_fault(
+                    "command_faults", "command %s failed", command, error
+                )
+
+    def _record_fault(
+        self, counter: str, text: str, subject: Event | Command, error: Exception
+    ) -> None:
+        """Count a fault of the program, and log it unless it was logged before."""
+        self._core.board.count(counter)
+        place = error.__traceback__
+        while place.tb_next is not None:
+            place = place.tb_next
+        fault = (type(subject), type(error), place.tb_frame.f_code, place.tb_lineno)
+        if (
+            fault in self._logged_faults
+            or len(self._logged_faults) >= MAX_LOGGED_FAULTS
+        ):
+            return
+        self._logged_faults.add(fault)
+        _LOGGER.error(text, type(subject).__name__, exc_info=error)
