--- a/sassafrasloft/event_loop/http_client.py
+++ b/sassafrasloft/event_loop/http_client.py
@@ -114,11 +114,12 @@
     async def _connect(self, address: str, call: _Call) -> None:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        # An address that is no address raises a ValueError or an OverflowError.
         try:
             _, connection = await loop.create_connection(
                 lambda: _ClientConnection(self, address), host, int(port)
             )
-        except (OSError, asyncio.CancelledError):
+        except (OSError, ValueError, OverflowError, asyncio.CancelledError):
             self._release_slot(address)
             call.finish(CallFailure.REFUSED)
             return
--- a/sassafrasloft/event_loop/tests/test_http.py
+++ b/sassafrasloft/event_loop/tests/test_http.py
@@ -245,3 +245,16 @@
         server.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("port", ["x", "", "99999"])
+def test_call_to_invalid_address_fails_at_once(port):
+    """Guards against a call that never gets a result, and keeps its connection."""
+
+    async def scenario():
+        client = HttpClient(1)
+        for _ in range(2):
+            result = await call(client, f"{HOST}:{port}")
+            assert result is CallFailure.REFUSED
+
+    asyncio.run(asyncio.wait_for(scenario(), 5))
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -58,7 +58,8 @@
     MessageMalformed
         If the kind is unknown or a field has another type.
     """
-    if not isinstance(value, list) or not value or value[0] not in _KINDS:
+    is_array = isinstance(value, list) and value and isinstance(value[0], str)
+    if not is_array or value[0] not in _KINDS:
         raise MessageMalformed(
             "the message is not an array that begins with a known kind"
         )
