--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -276,6 +276,8 @@
         board.set_timer(SWEEP_TIMER, SWEEP_INTERVAL_MS)
         self._contact_waiting_runners(board, MIN_CONTACTS_PER_SWEEP)
         for view in list(board.pool.runners.values()):
+            if view.is_idle:
+                continue
             self._finish_expired_runs(view, board)
             if not view.fenced and view.runner_id not in self._contacts:
                 polling.maintain_contact(view, board, self._calls)
--- a/sassafrasloft/runs/polling.py
+++ b/sassafrasloft/runs/polling.py
@@ -28,6 +28,9 @@
 """A timeout detected later than this is due to a delay of this process."""
 LONG_RUN_THRESHOLD_MS = 500
 """Long polls return often enough to show the progress or the end of shorter runs."""
+MS_PER_IDLE_POLL = 1
+LONGEST_POLL_WAIT_MS: Milliseconds = 2_000
+"""Runners answer a long poll after this time at the latest."""
 MAX_CLOCK_DRIFT = 0.02
 """Fraction by which the clock of a runner may run slow."""
 
@@ -114,12 +117,24 @@
     call_runner(view, "look", order, None, board, calls, timeout)
 
 
+def idle_poll_wait_ms(board: InstanceBoard) -> Milliseconds:
+    """Return how long a poll of a runner without runs waits.
+
+    Load pattern: thousands of idle runners, each of which is polled all the time. Above
+    a thousand runners the rate of polls stays at a thousand a second, up to the longest
+    wait that runners grant.
+    """
+    shortest = board.tuning.longest_idle_wait_ms
+    paced = len(board.pool.runners) * MS_PER_IDLE_POLL
+    return max(shortest, min(paced, LONGEST_POLL_WAIT_MS))
+
+
 def ensure_long_poll(view: RunnerView, board: InstanceBoard, calls: OpenCalls) -> None:
     """Open a long poll on a runner that replies, unless one is open."""
     if view.long_poll_call or view.fenced or not view.contacted:
         return
     tuning = board.tuning
-    wait_ms = tuning.renewal_ms if view.runs else tuning.longest_idle_wait_ms
+    wait_ms = tuning.renewal_ms if view.runs else idle_poll_wait_ms(board)
     token = board.leadership.token_for(view.entry.zone)
     lease = renew_leases(view, board) if board.pool.has_leases_to_renew(view) else 0
     order = PollRuns(token, lease, view.seen_end, wait_ms)
--- a/sassafrasloft/runs/runner_list.py
+++ b/sassafrasloft/runs/runner_list.py
@@ -129,8 +129,11 @@
         if pool.zone and entry.zone != pool.zone:
             return
         view = pool.runners.get(entry.runner_id)
-        if view is not None and _is_outdated(view, entry):
-            return
+        if view is not None:
+            if view.entry is entry and view.missing_since < 0:
+                return
+            if _is_outdated(view, entry):
+                return
         if view is not None and entry.address != view.entry.address:
             self._drop_runner(view, "the runner restarted at another address", board)
             view = None
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -153,6 +153,16 @@
         """The runner's id."""
         return self.entry.runner_id
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the open long poll is all that a runner without runs needs."""
+        return bool(
+            self.long_poll_call
+            and not self.runs
+            and self.contacted
+            and not self.unanswered
+        )
+
     def add(self, run: Run) -> None:
         """Add a run and subtract its demand from the free capacity."""
         self.runs[run.task] = run
--- a/sassafrasloft/scheduling/free_capacity.py
+++ b/sassafrasloft/scheduling/free_capacity.py
@@ -25,6 +25,8 @@
     def __init__(self, views: list[RunnerView], away_factor: float = 1.0) -> None:
         self.away_factor = away_factor
         self._racks: dict[str, bool] = {}
+        self._index_of_runner: dict[str, int] = {}
+        """Positions in `_views`; filled when the first runner gets a task."""
         self._views = views
         self._free = [view.free.millicores for view in views]
         """Free millicores under which each runner is sorted; its free capacity may have
@@ -74,7 +76,11 @@
 
     def update_runner(self, view: RunnerView) -> None:
         """Move a runner whose free capacity has changed to its new position."""
-        index = self._views.index(view)
+        if not self._index_of_runner:
+            self._index_of_runner = {
+                one.runner_id: index for index, one in enumerate(self._views)
+            }
+        index = self._index_of_runner[view.runner_id]
         del self._sorted[bisect_left(self._sorted, (self._free[index], index))]
         self._free[index] = view.free.millicores
         insort(self._sorted, (self._free[index], index))
