Bound the reads of the list of runners by instances that do not schedule

Change: entries are parsed only if their revision has changed; instances that do not schedule read 30,000 entries a second together at most, and spread their first lists over a second.

--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -3,6 +3,7 @@
 from returns.result import Failure, Success
 
 from sassafrasloft.blackboard import Controller, Event, Started, TimerFired
+from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CallStore, SetHttpLimits
 from sassafrasloft.instance.controllers import CONTROLLERS
@@ -28,6 +29,12 @@
 
 WATCH_TIMER = "metadata.watch"
 RUNNERS_TIMER = "metadata.runners"
+STANDBY_ENTRIES_PER_MS = 30
+"""Limit of entries of runners that all instances read which do not schedule: about
+100 Mbit/s, a tenth of the store's link."""
+FIRST_LIST_SPREAD_MS = 1_000
+"""After a start of all instances their first lists are spread over this time. A
+scheduler reads its own list at once."""
 
 
 @CONTROLLERS.register("metadata", order=10)
@@ -45,6 +52,9 @@
     def __init__(self) -> None:
         self._watch_call = 0
         self._runners_call = 0
+        self._read_entries: dict[str, tuple[int, RunnerEntry | None]] = {}
+        """By key: the revision of each item of the last list of runners, and the entry
+        that was read from it; None if it is unreadable."""
         self._known_revision = -1
         """Store revision up to which changes are known; -1 to list all items."""
 
@@ -59,7 +69,7 @@
                 self._handle_runner_list(event.reply, board)
         elif isinstance(event, Started):
             self._request_changes(board)
-            self._request_runner_list(board)
+            board.set_timer(RUNNERS_TIMER, board.random.randrange(FIRST_LIST_SPREAD_MS))
         elif isinstance(event, LeadershipGained):
             # An open call may return a list from before leadership was gained.
             self._runners_call = 0
@@ -183,17 +193,37 @@
         board.emit(CallStore(self._runners_call, operation, timeout))
 
     def _handle_runner_list(self, reply: StoreReply, board: InstanceBoard) -> None:
-        tuning = board.tuning
-        period = tuning.runner_list_ms if board.pool.active else tuning.standby_list_ms
-        board.set_timer(RUNNERS_TIMER, period)
+        board.set_timer(RUNNERS_TIMER, self._list_period_ms(board))
         if not isinstance(reply, ListedItems):
             return
-        entries: list[RunnerEntry] = []
-        for item in reply.items:
-            match board.documents.read_runner(item.key, item.value):
-                case Success(entry):
-                    entries.append(entry)
-                case Failure(reason):
-                    board.count("runner_entries_unreadable")
-                    board.log("runner_entry_unreadable", key=item.key, reason=reason)
-        board.post(RunnersListed(tuple(entries)))
+        self._read_entries = {
+            item.key: (item.revision, self._read_entry(item, board))
+            for item in reply.items
+        }
+        entries = (entry for _, entry in self._read_entries.values())
+        board.post(RunnersListed(tuple(one for one in entries if one is not None)))
+
+    def _read_entry(self, item: Item, board: InstanceBoard) -> RunnerEntry | None:
+        """Return the entry of an item, read only if the item has changed."""
+        revision, known = self._read_entries.get(item.key, (0, None))
+        if revision == item.revision:
+            return known
+        match board.documents.read_runner(item.key, item.value):
+            case Success(entry):
+                return entry
+            case Failure(reason):
+                board.count("runner_entries_unreadable")
+                board.log("runner_entry_unreadable", key=item.key, reason=reason)
+        return None
+
+    def _list_period_ms(self, board: InstanceBoard) -> Milliseconds:
+        """Return the time until the list of runners is read again.
+
+        Load pattern: hundreds of instances that do not schedule each read thousands of
+        entries, which takes the bandwidth of the store from the scheduler.
+        """
+        tuning = board.tuning
+        if board.pool.active:
+            return tuning.runner_list_ms
+        entries = len(board.leadership.members) * len(self._read_entries)
+        return max(tuning.standby_list_ms, entries // STANDBY_ENTRIES_PER_MS)
--- a/sassafrasloft/testing/fleet/tests/situations.py
+++ b/sassafrasloft/testing/fleet/tests/situations.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from sassafrasloft.blackboard import Command
+from sassafrasloft.clock import Milliseconds
 from sassafrasloft.gateway import AnswerKind
 from sassafrasloft.leadership import Role
 from sassafrasloft.testing.fleet.command_execution import HOST, SERVICE, TestJob
@@ -102,3 +104,19 @@
         runner.entry = leaving
 
     world.queue.after(DRAIN_NOTICE_MS, forbid_starts)
+
+
+def observe_commands(
+    world: FleetWorld, record: Callable[[Command, Milliseconds], None]
+) -> None:
+    """Call `record` with each command of each instance and its time."""
+    for instance in world.instances.values():
+        step = instance.core.step
+
+        def observed_step(event, now, step=step):
+            commands = step(event, now)
+            for command in commands:
+                record(command, now)
+            return commands
+
+        instance.core.step = observed_step
