Pace the member lists that a scheduler sends

Cause: each instance that joined, also one that only returned, made the scheduler send the whole list to all followers with its next heartbeat, encoded for each of them: with 97 instances 470 kB and with 300 4.5 MB in one period, behind which heartbeats wait longer than their timeout on a link of 12.5 Mbit/s. Change: a follower gets the list if it has changed since its last one, up to 1,000 entries in a heartbeat period; a message to many streams is encoded once.

--- a/sassafrasloft/event_loop/streams.py
+++ b/sassafrasloft/event_loop/streams.py
@@ -37,6 +37,9 @@
         self._last_incoming_id = INCOMING_ID_BASE
         self._server: asyncio.Server | None = None
         self._paused = False
+        self._last_message: Message | None = None
+        """The message sent last; heartbeats are the same for many streams."""
+        self._last_bytes = b""
         self.buffer = bytearray(READ_BYTES)
         """The read buffer of all streams; each read is handled before the next."""
 
@@ -86,8 +89,12 @@
     def send(self, stream_id: int, message: Message) -> None:
         """Send a message, or drop it if the stream is closed."""
         stream = self._streams.get(stream_id)
-        if stream is not None:
-            stream.send(encode_message(message))
+        if stream is None:
+            return
+        if message is not self._last_message:
+            self._last_bytes = encode_message(message)
+            self._last_message = message
+        stream.send(self._last_bytes)
 
     def close(self, stream_id: int) -> None:
         """Close a stream without reporting it as an event."""
--- a/sassafrasloft/event_loop/tests/test_streams.py
+++ b/sassafrasloft/event_loop/tests/test_streams.py
@@ -4,7 +4,7 @@
 
 from sassafrasloft.event_loop.streams import MessageStreams
 from sassafrasloft.instance.events import MessageReceived, StreamClosed, StreamOpened
-from sassafrasloft.instance.messages import Heartbeat, Promote
+from sassafrasloft.instance.messages import Heartbeat, Promote, encode_message
 
 HOST = "127.0.0.1"
 
@@ -101,3 +101,32 @@
         assert [one.message.revision for one in second_events] == list(range(2_000))
 
     asyncio.run(scenario())
+
+
+def test_message_to_many_streams_is_encoded_once(monkeypatch):
+    """Guards against a heartbeat that is encoded anew for each follower."""
+    encoded = []
+
+    def counted(message):
+        encoded.append(message)
+        return encode_message(message)
+
+    monkeypatch.setattr("sassafrasloft.event_loop.streams.encode_message", counted)
+    streams = MessageStreams(lambda event: None)
+    written = []
+
+    class RecordedStream:
+        def __init__(self, stream_id):
+            self.stream_id = stream_id
+
+        def send(self, data):
+            written.append(data)
+
+    for stream_id in range(3):
+        streams.add_stream(RecordedStream(stream_id))
+    first, second = Heartbeat(offered=1), Heartbeat(offered=2)
+    for message in (first, second):
+        for stream_id in range(3):
+            streams.send(stream_id, message)
+    assert encoded == [first, second]
+    assert written == [encode_message(first)] * 3 + [encode_message(second)] * 3
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -23,6 +23,9 @@
 )
 from sassafrasloft.scheduling import ScheduledJob, TaskState
 
+MEMBERS_PER_HEARTBEAT = 1_000
+"""Entries of member lists that are sent in one heartbeat period, at least one list: of
+50 bytes each and in 50 ms, a megabyte a second. The lists of 31 instances fit."""
 RECONNECT_GRACE_MS = 1_000
 """An instance whose stream ended reconnects within this time, or has failed."""
 
@@ -33,14 +36,18 @@
     def __init__(self) -> None:
         self._known_members: dict[str, tuple[Member, int]] = {}
         """By name: the member's entry and when it expires if the member is absent."""
-        self._members_changed = False
-        """Whether the next heartbeat has to carry the member list."""
+        self._members_version = 0
+        """Number of changes of the member list."""
+        self._members_allowance = MEMBERS_PER_HEARTBEAT
+        """Entries of member lists that may be sent until the next heartbeat."""
         self._next_slot = 1
 
     def begin(self, board: InstanceBoard) -> None:
         """Start from the member list that the previous scheduler sent."""
         leadership = board.leadership
         self._known_members.clear()
+        # Followers may have got another list from the previous scheduler.
+        self._members_version += 1
         until = board.now + board.tuning.absence_ms
         for one in leadership.members:
             self._known_members[one.name] = (one, until)
@@ -58,18 +65,30 @@
             self._next_slot += 1
         entry = Member(name, zone, address, cores, slot)
         if known is None or known[0] != entry:
-            self._members_changed = True
             board.log("instance_seen", instance=name, zone=zone, slot=slot)
         self._known_members[name] = (entry, board.now + board.tuning.absence_ms)
 
     def _publish_members(self, board: InstanceBoard) -> None:
-        self._members_changed = True
-        board.leadership.members = tuple(
-            sorted(
-                (one for one, _ in self._known_members.values()),
-                key=lambda one: one.slot,
-            )
-        )
+        entries = (one for one, _ in self._known_members.values())
+        members = tuple(sorted(entries, key=lambda one: one.slot))
+        if members != board.leadership.members:
+            board.leadership.members = members
+            self._members_version += 1
+
+    def _may_send_members(self, stream: PeerStream, board: InstanceBoard) -> bool:
+        """Return whether a follower gets the member list now, and account for it.
+
+        Load pattern: when hundreds of instances start, the list changes with each of
+        them. Sent to all at each change, it would fill the link of the scheduler and
+        delay its heartbeats beyond their timeout.
+        """
+        count = len(board.leadership.members)
+        is_current = stream.members_version == self._members_version
+        if is_current or self._members_allowance <= 0:
+            return False
+        self._members_allowance -= count
+        stream.members_version = self._members_version
+        return True
 
     def accept_follower(
         self, stream: PeerStream, message: Hello, board: InstanceBoard
@@ -96,11 +115,9 @@
                 ),
             )
         )
-        board.emit(
-            SendMessage(
-                stream.stream_id, _heartbeat_message(leadership.members, leadership)
-            )
-        )
+        members = leadership.members if self._may_send_members(stream, board) else None
+        heartbeat = _heartbeat_message(members, leadership)
+        board.emit(SendMessage(stream.stream_id, heartbeat))
         configuration = board.configuration
         if message.configuration_version < configuration.current.version:
             offer = ConfigurationOffer(configuration.document)
@@ -130,8 +147,9 @@
         if leadership.role is Role.SCHEDULING:
             self._remove_absent_members(board)
             self._reclaim_fenced_zones(board)
-        members = leadership.members if self._members_changed else None
-        self._members_changed = False
+        self._members_allowance = MEMBERS_PER_HEARTBEAT
+        heartbeat = _heartbeat_message(None, leadership)
+        with_members = _heartbeat_message(leadership.members, leadership)
         for stream in list(leadership.streams.values()):
             if not stream.follower:
                 continue
@@ -139,12 +157,10 @@
             if silent_ms > heartbeat_timeout_ms(stream.heartbeat_delay_ms, board):
                 self.remove(stream, True, board)
                 board.emit(CloseStream(stream.stream_id))
+            elif self._may_send_members(stream, board):
+                board.emit(SendMessage(stream.stream_id, with_members))
             else:
-                board.emit(
-                    SendMessage(
-                        stream.stream_id, _heartbeat_message(members, leadership)
-                    )
-                )
+                board.emit(SendMessage(stream.stream_id, heartbeat))
 
     def _reclaim_fenced_zones(self, board: InstanceBoard) -> None:
         """Reclaim zones whose runners are still fenced by a failed acting scheduler.
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -94,6 +94,8 @@
     opened_at: Milliseconds = 0
     heartbeat_delay_ms: Milliseconds = 0
     """Heartbeat delay that the other instance reported last."""
+    members_version: int = 0
+    """Version of the member list that was sent to this follower last; 0 if none."""
     offered: int = 0
     """Tasks that callers submitted to the other instance since this instance's last
     heartbeat."""
