Keep the work of a silent instance, and refuse no job as not run that may have run

Cause, silent instance: the scheduler cancelled all jobs of an instance at its heartbeat timeout. One that had stood still for half a second submitted them again, so that work that was running was stopped and started again from the beginning. Change: the jobs go on for 400 ms more, which ends before their callers may submit them at a scheduler that this one cannot reach; successors wait as much longer for runs of a predecessor that they cannot reach. Cause, refusals: a job whose instance was killed while it ran, and whose caller sent it again when there was no capacity, was refused as not run; likewise after a takeover, and by an instance without a scheduler. Change: such a refusal says that the job may have run, unless the scheduler knows that it refused the earlier submission, or that none reached it.

--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -34,6 +34,7 @@
 from sassafrasloft.instance.tracing import child_span, record_span
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.scheduling import JobOutcome
+from sassafrasloft.scheduling.lateness import CallerRetryDetector
 from sassafrasloft.workload import Route
 
 EXPIRY_TIMER = "gateway.give_up"
@@ -73,6 +74,7 @@
         self._scheduler_acting = False
         self._scheduler_lost_at = 0
         self._intake = IntakeFilter()
+        self._retry_detector = CallerRetryDetector()
 
     def react(self, event: Event, board: InstanceBoard) -> None:
         """Handle callers' requests, the scheduler's answers and scheduler changes."""
@@ -156,13 +158,19 @@
             return
         requests.tasks_offered += sum(step.count for step in event.job.steps)
         remaining_ms = event.remaining_ms or route.timeout_ms
-        if not self._intake.admits(route, remaining_ms, board.leadership.intake_share):
+        is_retry = self._retry_detector.record_request(route, remaining_ms)
+        if not self._intake.admits(route, is_retry, board.leadership.intake_share):
             self._reject_for_overload(event, board)
             return
         requests.job_id_of_request[event.request_id] = event.job.job_id
         objective_ms = route.objective_ms(event.job.critical_path_ms())
         job = OpenJob(
-            event.job, route, board.now, board.now + remaining_ms, objective_ms
+            event.job,
+            route,
+            board.now,
+            board.now + remaining_ms,
+            objective_ms,
+            is_caller_retry=is_retry,
         )
         job.requests.add(event.request_id)
         if event.trace is not None:
@@ -395,11 +403,7 @@
                 if board.now >= job.deadline_at:
                     self._complete_job(job, _may_have_run("no scheduler"), board)
             elif takeover_overdue or waited_ms >= _max_scheduler_wait_ms(job, board):
-                retry_after_s = tuning.shortest_retry_after_s
-                answer = CallerAnswer(
-                    AnswerKind.UNAVAILABLE, "no scheduler", retry_after_s
-                )
-                self._complete_job(job, answer, board)
+                self._complete_job(job, _no_scheduler_answer(job, board), board)
         if board.requests.jobs:
             self._start_expiry_timer(board)
 
@@ -412,11 +416,23 @@
 def _predecessor_runs_ms(board: InstanceBoard) -> Milliseconds:
     """Return for how long runs of a lost scheduler may stay alive.
 
-    The sum of the longest lease, the expiry margin and the heartbeat timeout.
+    The sum of the longest lease, the expiry margin, the heartbeat timeout and the time
+    for which it keeps the jobs of a silent instance.
     """
     tuning = board.tuning
     lease_ms = board.settings.longest_lease_ms + tuning.lapse_margin_ms
-    return lease_ms + tuning.silence_ms
+    return lease_ms + tuning.silence_ms + tuning.silent_grace_ms
+
+
+def _no_scheduler_answer(job: OpenJob, board: InstanceBoard) -> CallerAnswer:
+    """Return the answer to a job that was sent to no scheduler by this instance.
+
+    A caller that sent its job before may have reached a scheduler then.
+    """
+    if job.is_caller_retry:
+        return _may_have_run("no scheduler")
+    retry_after_s = board.tuning.shortest_retry_after_s
+    return CallerAnswer(AnswerKind.UNAVAILABLE, "no scheduler", retry_after_s)
 
 
 def _may_have_run(reason: str) -> CallerAnswer:
--- a/sassafrasloft/gateway/intake.py
+++ b/sassafrasloft/gateway/intake.py
@@ -1,6 +1,5 @@
 """Refusal of new jobs at an instance while the scheduler is overloaded."""
 
-from sassafrasloft.scheduling.lateness import CallerRetryDetector
 from sassafrasloft.workload import Route
 
 
@@ -9,15 +8,13 @@
 
     def __init__(self) -> None:
         self._credit: dict[str, float] = {}
-        self._patience = CallerRetryDetector()
 
-    def admits(self, route: Route, remaining_ms: int, share: float) -> bool:
+    def admits(self, route: Route, is_caller_retry: bool, share: float) -> bool:
         """Return whether a job that has arrived may be submitted.
 
         A job that its caller has sent before is always submitted, since it may have
         run; fewer new jobs of its route are admitted in return.
         """
-        is_caller_retry = self._patience.record_request(route, remaining_ms)
         if share >= 1.0:
             self._credit.clear()
             return True
--- a/sassafrasloft/gateway/requests.py
+++ b/sassafrasloft/gateway/requests.py
@@ -21,6 +21,8 @@
         Whether the job was ever sent to a scheduler, which may have run it.
     sent_to_scheduler : bool
         Whether the job was sent to the current scheduler.
+    is_caller_retry : bool
+        Whether its caller sent it before, possibly to another instance.
     """
 
     job: JobRequest
@@ -31,6 +33,7 @@
     requests: set[int] = attrs.field(factory=set)
     sent: bool = False
     sent_to_scheduler: bool = False
+    is_caller_retry: bool = False
     caller_span: TraceParent | None = None
     span: TraceParent | None = None
     """This instance's span, a child of `caller_span`; None unless the job is traced."""
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -92,6 +92,10 @@
     """Heartbeat timeout of an instance that reported delayed heartbeats: allows for
     three more stalls of 100 than `silence_ms`, and is about a third of the leadership
     lease."""
+    silent_grace_ms: Milliseconds = 400
+    """How long the jobs of an instance go on after its heartbeat timeout. With the
+    longest timeout (700) and the time to stop runs (160) they have ended when their
+    callers may submit them elsewhere, 1,300 after their connections broke."""
     connect_timeout_ms: Milliseconds = 80
     """Timeout of connecting to an instance; this takes less than 5 between zones."""
     rank_delay_ms: Milliseconds = 30
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -34,7 +34,10 @@
 )
 from sassafrasloft.scheduling.lateness import CallerRetryDetector, is_late
 from sassafrasloft.scheduling.outcomes import record_outcome
-from sassafrasloft.scheduling.predecessor_runs import startable_work
+from sassafrasloft.scheduling.predecessor_runs import (
+    may_have_run_before,
+    startable_work,
+)
 from sassafrasloft.traces.traceparent import TraceParent
 
 REFUSAL_TIMER = "scheduling.wait"
@@ -193,6 +196,7 @@
             ),
             predecessor_revision=message.predecessor_revision,
         )
+        job.may_have_run_before = may_have_run_before(job, board)
         if message.trace_id:
             job.gateway_span = TraceParent(message.trace_id, message.span_id)
             job.span = child_span(job.gateway_span, board)
@@ -306,40 +310,39 @@
             board.set_timer(ABANDONED_TIMER, CHECK_PERIOD_MS)
 
     def remove_subscriber(self, event: FollowerLost, board: InstanceBoard) -> None:
-        """Cancel jobs of an instance that may have submitted them to another scheduler.
+        """Keep the jobs of a lost instance for a while, until it submits them again.
 
-        A stream that was reset may be opened again at once, so its end does not show
-        that the process of the instance is gone. Its jobs are kept for a while.
+        A stream that was reset may be opened again at once, and an instance that is
+        silent may only have stood still. It may also have submitted its jobs to another
+        scheduler, which starts them no earlier than they are cancelled here.
         """
-        for job in list(board.jobs.open.values()):
+        tuning = board.tuning
+        grace_ms = tuning.silent_grace_ms if event.silent else tuning.silence_ms
+        for job in board.jobs.open.values():
             if event.stream_id not in job.subscribers:
                 continue
             job.subscribers.discard(event.stream_id)
-            if job.subscribers:
-                continue
-            if event.silent:
-                self.end(job, JobOutcome.CANCELLED, "its instance is silent", board)
-            else:
-                job.no_subscribers_since = board.now
-                board.set_timer(NO_SUBSCRIBERS_TIMER, board.tuning.silence_ms)
+            if not job.subscribers:
+                job.resubmission_due_at = board.now + grace_ms
+        self.cancel_jobs_without_subscribers(board)
 
     def cancel_jobs_without_subscribers(self, board: InstanceBoard) -> None:
-        """Cancel jobs that no instance has submitted again after its stream closed."""
-        latest = board.now - board.tuning.silence_ms
-        waiting = False
+        """Cancel jobs that no instance has submitted again in time."""
+        next_due_at = -1
         for job in list(board.jobs.open.values()):
-            if job.subscribers or job.no_subscribers_since < 0:
+            due_at = job.resubmission_due_at
+            if job.subscribers or due_at < 0:
                 continue
-            if job.no_subscribers_since <= latest:
+            if due_at <= board.now:
                 self.end(job, JobOutcome.CANCELLED, "its instance is gone", board)
-            else:
-                waiting = True
-        if waiting:
-            board.set_timer(NO_SUBSCRIBERS_TIMER, CHECK_PERIOD_MS)
+            elif next_due_at < 0 or due_at < next_due_at:
+                next_due_at = due_at
+        if next_due_at >= 0:
+            board.set_timer(NO_SUBSCRIBERS_TIMER, next_due_at - board.now)
 
     def refuse(self, job: ScheduledJob, refusal: Refusal, board: InstanceBoard) -> None:
         """End a job as refused or, if it may have run, as `MAY_HAVE_RUN`."""
-        if job.resubmitted or job.may_have_started:
+        if job.resubmitted or job.may_have_started or job.may_have_run_before:
             outcome = JobOutcome.MAY_HAVE_RUN
         else:
             outcome = JobOutcome.REFUSED
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -94,8 +94,8 @@
     may_have_started: bool = False
     """Whether a runner has accepted the start of a task, or may have."""
     first_start_at: Milliseconds = -1
-    no_subscribers_since: Milliseconds = -1
-    """When the stream of its last subscriber closed; -1 if none did."""
+    resubmission_due_at: Milliseconds = -1
+    """When the job is cancelled unless it has a subscriber; -1 if it never lost one."""
     abandoned_at: Milliseconds = -1
     """When the connection of the last caller that waited for the answer broke; -1 while
     a caller waits."""
@@ -103,6 +103,8 @@
     """Whether another scheduler may have started tasks of the job before."""
     is_caller_retry: bool = False
     """Whether its caller sent it before, as detected by `CallerRetryDetector`."""
+    may_have_run_before: bool = False
+    """Whether tasks of an earlier submission by its caller may have run."""
     gateway_span: TraceParent | None = None
     span: TraceParent | None = None
     """Span of the scheduling, a child of `gateway_span`; None if it is not traced."""
--- a/sassafrasloft/scheduling/predecessor_runs.py
+++ b/sassafrasloft/scheduling/predecessor_runs.py
@@ -6,7 +6,7 @@
 """
 
 from sassafrasloft.instance.board import InstanceBoard
-from sassafrasloft.scheduling.jobs import ScheduledJob
+from sassafrasloft.scheduling.jobs import JobOutcome, ScheduledJob
 
 
 def predecessor_runs_possible(board: InstanceBoard) -> bool:
@@ -20,7 +20,9 @@
         # Runners whose entries lapsed in the outage may not be listed again yet.
         return True
     pool = board.pool
-    lapse = tuning.lease_ms + tuning.lapse_margin_ms + tuning.silence_ms
+    # An unreachable predecessor renews leases until it has given up its followers.
+    follower_loss_ms = tuning.silence_ms + tuning.silent_grace_ms
+    lapse = tuning.lease_ms + tuning.lapse_margin_ms + follower_loss_ms
     list_is_old = pool.entries_read_at <= pool.activated_at
     if list_is_old and board.now - pool.activated_at <= lapse:
         return True
@@ -49,3 +51,23 @@
         for task in job.waiting
         if task.not_before <= board.now
     )
+
+
+def may_have_run_before(job: ScheduledJob, board: InstanceBoard) -> bool:
+    """Return whether tasks of an earlier submission of a job may have run.
+
+    Load pattern: callers whose connections broke send their jobs again while there is
+    too little capacity. Such a job must not be refused as "not run", unless it is known
+    what became of it.
+    """
+    known = board.jobs.answers.get(job.job_id)
+    if known is not None:
+        outcome, _ = known
+        return outcome is not JobOutcome.REFUSED
+    if not job.is_caller_retry:
+        return False
+    # Its caller has used up part of the time for which it waits at least.
+    patience_ms = job.deadline_at - job.arrived_at
+    first_sent_at = job.arrived_at - (job.route.timeout_ms - patience_ms)
+    was_scheduling = board.pool.activated_at < first_sent_at - board.tuning.silence_ms
+    return board.pool.acting or not was_scheduling
