Make the tests of refused retries replay the losses, and align one with heartbeats

Change: the retries replay a cancelled run and an isolated instance; the other test starts its window right after a heartbeat, so that exactly one falls into it.

--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -2,6 +2,7 @@
 
 from sassafrasloft.instance.events import BacklogMeasured
 from sassafrasloft.leadership import Role
+from sassafrasloft.leadership.role_controller import HEARTBEAT_TIMER
 from sassafrasloft.testing.fleet.command_execution import STORE
 from sassafrasloft.testing.fleet.tests.situations import (
     ORDER,
@@ -279,6 +280,8 @@
 def test_scheduler_with_single_event_backlog_keeps_leadership():
     world = settled_world()
     scheduler = scheduler_of(world)
+    # Exactly one heartbeat falls into the backlog.
+    world.queue.run_until(world.instances[scheduler].timers[HEARTBEAT_TIMER])
     world.tell(world.instances[scheduler], BacklogMeasured(300))
     world.run(60)
     world.tell(world.instances[scheduler], BacklogMeasured(0))
--- a/sassafrasloft/testing/fleet/tests/test_refused_retries.py
+++ b/sassafrasloft/testing/fleet/tests/test_refused_retries.py
@@ -36,16 +36,16 @@
     return [answer.kind for _, answer in job.answers[before:]]
 
 
-@pytest.mark.parametrize("takeover", [True, False])
-def test_retry_of_job_that_ran_is_not_refused_as_not_run(takeover):
+@pytest.mark.parametrize(("takeover", "task_ms"), [(True, 60), (False, 2_000)])
+def test_retry_of_job_that_ran_is_not_refused_as_not_run(takeover, task_ms):
     """Guards against "not run" for a job whose first answer was lost.
 
-    Its instance was killed while its tasks ran. When the caller sent it again, there
-    was no capacity for it.
+    Its instance was killed while its tasks ran, which ended with the scheduler or were
+    cancelled. When the caller sent it again, there was no capacity for it.
     """
     world = settled_world()
     name, other = follower_names(world)[:2]
-    job = world.submit(simple_job(1, 2, 30_000, 60), ORDER, name, DEADLINE_MS)
+    job = world.submit(simple_job(1, 2, 30_000, task_ms), ORDER, name, DEADLINE_MS)
     world.run(10)
     assert world.audit.starts[job.job.job_id] == 2
     world.kill(name)
@@ -77,17 +77,16 @@
 def test_retry_without_scheduler_is_not_refused_as_not_run():
     """Guards against "not run" from an instance that knows nothing of the job.
 
-    The instance that had it was killed with the scheduler, and the store was down.
+    The instance that had it was killed, and this one was isolated from all others.
     """
-    world = settled_world({"north": 1, "south": 1, "west": 1})
-    scheduler = scheduler_of(world)
+    world = settled_world()
     name, other = follower_names(world)[:2]
     job = submit_order(world, 1, name)
     world.run(100)
-    world.store_down = True
-    world.kill(scheduler)
     world.kill(name)
     job.open_requests = 0
+    world.cut = lambda sender, receiver: other in (sender, receiver)
+    world.run(RETRY_DELAY_MS)
     kinds = retry(world, job, other, RETRY_DELAY_MS)
     assert kinds
     assert not set(kinds) & set(NOT_RUN)
