--- a/sassafrasloft/event_loop/actor.py
+++ b/sassafrasloft/event_loop/actor.py
@@ -98,20 +98,20 @@
             commands = self._core.step(message, self._clock.now())
         except Exception as error:
             # An exception on one event must not end the process with all its requests.
-            self._record_fault("core_faults", "the core failed on %s", message, error)
+            if self._is_new_fault("core_faults", message, error):
+                _LOGGER.exception("the core failed on %s", type(message).__name__)
             commands = self._core.board.take_commands()
         for command in commands:
             try:
                 self._command_handlers[type(command)](command)
             except Exception as error:
-                self._record_fault(
-                    "command_faults", "command %s failed", command, error
-                )
+                if self._is_new_fault("command_faults", command, error):
+                    _LOGGER.exception("command %s failed", type(command).__name__)
 
-    def _record_fault(
-        self, counter: str, text: str, subject: Event | Command, error: Exception
-    ) -> None:
-        """Count a fault of the program, and log it unless it was logged before."""
+    def _is_new_fault(
+        self, counter: str, subject: Event | Command, error: Exception
+    ) -> bool:
+        """Count a fault of the program; return whether it is to be logged."""
         self._core.board.count(counter)
         place = error.__traceback__
         while place.tb_next is not None:
@@ -121,6 +121,6 @@
             fault in self._logged_faults
             or len(self._logged_faults) >= MAX_LOGGED_FAULTS
         ):
-            return
+            return False
         self._logged_faults.add(fault)
-        _LOGGER.error(text, type(subject).__name__, exc_info=error)
+        return True
--- a/sassafrasloft/operators/explain_commands.py
+++ b/sassafrasloft/operators/explain_commands.py
@@ -1,4 +1,4 @@
-"""Commands that read log lines: explain."""
+"""Commands that read log lines: explain, losses."""
 
 import sys
 from pathlib import Path
@@ -12,6 +12,7 @@
     render,
     summary,
 )
+from sassafrasloft.operators.losses import lost_requests, objectives, render_losses
 
 AROUND_S = 0.2
 """What instances came to believe this long before and after a request is shown."""
@@ -37,6 +38,14 @@
     return ExitCode.DONE
 
 
+@register_command("losses", "FILE...", least=1, most=1_000)
+def losses(context: Context, operands: list[str]) -> ExitCode:
+    """Count requests that were not served in time, by the decision that lost them."""
+    lines = _read(operands)
+    context.say(render_losses(lost_requests(lines, objectives(lines))))
+    return ExitCode.DONE
+
+
 def _is_source(operand: str) -> bool:
     return operand == "-" or Path(operand).exists()
 
