--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 RUN = PYTHONPATH=$(CURDIR) PYTHONHASHSEED=0 $(VENV)/bin/python
 SEED ?= 1
 
-.PHONY: help test lint format reference golden core-soak soak bench demo kill-test measure-entry live-round
+BENCH ?=
+SITES ?=
+
+.PHONY: help regression test lint format reference golden core-soak soak bench demo kill-test measure-entry live-round
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -52,3 +55,7 @@
 
 live-round: $(VENV)/.installed  ## Run the same jobs on real processes and in the event queue.
 	$(RUN) -m benchmarks.live_round --loads=0.3,0.7
+
+regression: $(VENV)/.installed  ## Score SITES with the users' bench BENCH and compare.
+	for site in $(SITES); do $(BENCH) score $$site --why "regression" || exit 1; done
+	$(RUN) -m benchmarks.compare_scores
