Forget refusals when another instance schedules

Cause: a scheduler that lost its leadership and won it again took a refusal of its earlier time as proof that a job had not run. Change: results of jobs stay when leadership is lost, refusals go.

--- a/sassafrasloft/runs/polling.py
+++ b/sassafrasloft/runs/polling.py
@@ -29,6 +29,7 @@
 LONG_RUN_THRESHOLD_MS = 500
 """Long polls return often enough to show the progress or the end of shorter runs."""
 MS_PER_IDLE_POLL = 1
+"""Milliseconds between the polls of any two idle runners: a thousand polls a second."""
 LONGEST_POLL_WAIT_MS: Milliseconds = 2_000
 """Runners answer a long poll after this time at the latest."""
 MAX_CLOCK_DRIFT = 0.02
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -240,7 +240,16 @@
     """Whether jobs or runs changed in a way that calls for a scheduling pass."""
 
     def discard_all(self) -> None:
-        """Discard open jobs and handover state after another instance took over."""
+        """Discard what does not hold after another instance took over.
+
+        Results of jobs stay; a job that was refused here may run there.
+        """
+        for job_id in [
+            job_id
+            for job_id, (outcome, _) in self.answers.items()
+            if outcome is JobOutcome.REFUSED
+        ]:
+            del self.answers[job_id]
         self.open.clear()
         self.inherited.clear()
         self.reported_revisions.clear()
--- a/sassafrasloft/testing/fleet/tests/test_refused_retries.py
+++ b/sassafrasloft/testing/fleet/tests/test_refused_retries.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sassafrasloft.gateway import AnswerKind
+from sassafrasloft.scheduling import JobOutcome, JobTable
 from sassafrasloft.testing.fleet.scenario_callers import RETRY_DELAY_MS
 from sassafrasloft.testing.fleet.tests.situations import (
     LOOKUP,
@@ -74,6 +75,19 @@
     assert kinds == [AnswerKind.REFUSED]
 
 
+def test_refusal_is_forgotten_when_another_instance_schedules():
+    """Guards against "not run" for a job that ran at the scheduler in between.
+
+    A scheduler refused a job, lost its leadership, won it again and refused the job
+    once more. The scheduler in between had run it.
+    """
+    table = JobTable()
+    outcomes = (JobOutcome.REFUSED, JobOutcome.COMPLETED, JobOutcome.MAY_HAVE_RUN)
+    table.answers = {outcome.value: (outcome, 0) for outcome in outcomes}
+    table.discard_all()
+    assert list(table.answers) == ["completed", "may_have_run"]
+
+
 def test_retry_without_scheduler_is_not_refused_as_not_run():
     """Guards against "not run" from an instance that knows nothing of the job.
 
