Ask another follower to take over if the first one stops as well

The scheduler was stopped while the follower that it preferred was stopping; it asked this one six times in 2.4 s, until it had ended. Change: a stopping scheduler asks each follower once before it asks one again.

--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -1,5 +1,7 @@
 """Streams as the scheduler sees them: followers, heartbeats and the member list."""
 
+from collections.abc import Container
+
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CloseStream, SendMessage
@@ -238,6 +240,7 @@
         board: InstanceBoard,
         min_cores: float = 0.0,
         max_heartbeat_delay_ms: Milliseconds | None = None,
+        excluded: Container[str] = (),
     ) -> PeerStream | None:
         """Return the follower with the most cores that can take over leadership.
 
@@ -248,12 +251,15 @@
             Cores that the follower must have at least.
         max_heartbeat_delay_ms : int, optional
             Largest heartbeat delay that the follower may report; no limit if None.
+        excluded : container of str
+            Names of followers that are not to be chosen.
         """
         cores = {one.name: one.cores for one in board.leadership.members}
         able = [
             one
             for one in self.follower_streams(board)
-            if cores.get(one.name, 0.0) >= min_cores
+            if one.name not in excluded
+            and cores.get(one.name, 0.0) >= min_cores
             and (
                 max_heartbeat_delay_ms is None
                 or one.heartbeat_delay_ms <= max_heartbeat_delay_ms
--- a/sassafrasloft/leadership/role_controller.py
+++ b/sassafrasloft/leadership/role_controller.py
@@ -63,6 +63,8 @@
         self._offered_at_last_heartbeat = 0
         """Number of tasks that callers had submitted here by the last heartbeat."""
         self._intake_limiter = IntakeLimiter()
+        self._asked_successors: set[str] = set()
+        """Followers that were asked to take over since the stop was requested."""
         self._pending_handover: Handover | None = None
         """State of jobs and runs as this instance stopped scheduling, for the next
         scheduler."""
@@ -325,8 +327,16 @@
         leadership = board.leadership
         if leadership.role is not Role.SCHEDULING or not board.stopping.requested:
             return
-        successor = self._followers.choose_successor(board)
+        successor = self._followers.choose_successor(
+            board, excluded=self._asked_successors
+        )
+        if successor is None:
+            # All have been asked; requests may have been lost.
+            self._asked_successors.clear()
+            successor = self._followers.choose_successor(board)
         if successor is not None:
+            # A follower that is about to stop as well does not take over.
+            self._asked_successors.add(successor.name)
             self._request_promotion(successor, leadership.intake_share, 0, board)
         board.set_timer(PROMOTION_TIMER, PROMOTION_RETRY_MS)
 
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -2,7 +2,11 @@
 
 from sassafrasloft.instance.events import BacklogMeasured
 from sassafrasloft.leadership import Role
-from sassafrasloft.leadership.role_controller import HEARTBEAT_TIMER
+from sassafrasloft.leadership.followers import Followers
+from sassafrasloft.leadership.role_controller import (
+    HEARTBEAT_TIMER,
+    PROMOTION_RETRY_MS,
+)
 from sassafrasloft.testing.fleet.command_execution import STORE
 from sassafrasloft.testing.fleet.tests.situations import (
     ORDER,
@@ -132,6 +136,23 @@
         assert max(job.waited_ms for job in jobs) < 250
 
 
+def test_stopping_scheduler_hands_over_while_its_first_choice_stops():
+    """Guards against a scheduler that asks one follower until its process ends.
+
+    Stops of several instances overlap. The follower that the scheduler prefers is
+    stopping itself and does not take over.
+    """
+    world = settled_world()
+    scheduler = scheduler_of(world)
+    board = world.instances[scheduler].core.board
+    preferred = Followers().choose_successor(board).name
+    world.stop(preferred)
+    world.run(200)
+    world.stop(scheduler)
+    world.run(PROMOTION_RETRY_MS + 200)
+    assert scheduler_of(world) not in (scheduler, preferred)
+
+
 def test_instance_started_during_store_outage_finds_scheduler():
     world = settled_world()
     scheduler = scheduler_of(world)
