--- a/sassafrasloft/event_loop/http_client.py
+++ b/sassafrasloft/event_loop/http_client.py
@@ -25,6 +25,9 @@
     REFUSED = "refused"
     """The request was not sent because no connection was available."""
     TIMED_OUT = "timed_out"
+    """No part of the response arrived in time."""
+    INCOMPLETE = "incomplete"
+    """A part of the response arrived in time, but not the whole."""
     BROKEN = "broken"
     """The connection closed after the request was sent, or the response was invalid."""
 
@@ -136,8 +139,9 @@
             call.connecting.cancel()
             return
         if call.connection is not None:
+            has_begun = call.connection.response_has_begun
             call.connection.abort()
-            call.finish(CallFailure.TIMED_OUT)
+            call.finish(CallFailure.INCOMPLETE if has_begun else CallFailure.TIMED_OUT)
             return
         waiting = self._waiting_calls.get(address)
         if waiting and call in waiting:
@@ -182,6 +186,11 @@
         self._keep_alive = False
         self.is_open = True
 
+    @property
+    def response_has_begun(self) -> bool:
+        """Whether a part of the response to the open call has arrived."""
+        return self._response_count > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
         self._transport = transport
--- a/sassafrasloft/event_loop/tests/test_http.py
+++ b/sassafrasloft/event_loop/tests/test_http.py
@@ -247,6 +247,23 @@
     asyncio.run(scenario())
 
 
+def test_call_that_times_out_amid_its_response_is_reported_as_incomplete():
+    """Guards against taking a slow link for a silent server."""
+
+    async def scenario():
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+
+        server = await asyncio.start_server(answer, HOST, 0)
+        address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        result = await call(HttpClient(1), address, timeout_ms=50)
+        assert result is CallFailure.INCOMPLETE
+        server.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("port", ["x", "", "99999"])
 def test_call_to_invalid_address_fails_at_once(port):
     """Guards against a call that never gets a result, and keeps its connection."""
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -57,6 +57,8 @@
         that was read from it; None if it is unreadable."""
         self._known_revision = -1
         """Store revision up to which changes are known; -1 to list all items."""
+        self._failure_reason = ""
+        """Why the last call for changes failed; empty if it succeeded."""
 
     def react(self, event: Event, board: InstanceBoard) -> None:
         """Handle store replies, timers, new leadership and reported configurations."""
@@ -159,6 +161,7 @@
                     before=previous,
                     source=source,
                     routes=len(configuration.routes),
+                    bytes=len(document),
                 )
                 board.emit(SetHttpLimits(configuration.limits))
                 board.post(ConfigurationAdopted(configuration))
@@ -166,9 +169,13 @@
     def _record_store_reachability(
         self, reachable: bool, reason: str, board: InstanceBoard
     ) -> None:
-        if reachable == board.configuration.store_reachable:
+        if not reachable:
+            board.count("store_calls_failed")
+        was_reachable = board.configuration.store_reachable
+        if reachable == was_reachable and reason == self._failure_reason:
             return
         board.configuration.store_reachable = reachable
+        self._failure_reason = reason
         if reachable:
             board.configuration.store_regained_at = board.now
             board.log("store_regained")
