--- a/sassafrasloft/event_loop/http_client.py
+++ b/sassafrasloft/event_loop/http_client.py
@@ -5,16 +5,19 @@
 from collections.abc import Callable
 from enum import StrEnum
 from functools import partial
+from math import ceil
 
 import attrs
 import httptools
 
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.event_loop.deadlines import Deadline, Deadlines
+from sassafrasloft.metadata import TransferLimits
 
 MAX_RESPONSE_BYTES = 8_000_000
 """Longer bodies are rejected. A value of 1 MB takes at most 6 MB as JSON."""
 
+MS_IN_SECOND = 1_000
 READ_BYTES = 65_536
 """The maximum number of bytes in one read from a connection."""
 
@@ -47,6 +50,7 @@
 class _Call:
     request: bytes
     on_result: ResultCallback
+    transfer: TransferLimits | None = None
     deadline: Deadline | None = None
     connection: "_ClientConnection | None" = None
     connecting: "asyncio.Task | None" = None
@@ -90,11 +94,23 @@
         request: bytes,
         timeout_ms: Milliseconds,
         on_result: ResultCallback,
+        transfer: TransferLimits | None = None,
     ) -> None:
-        """Send a request; `on_result` is called once, with a response or a fault."""
+        """Send a request; `on_result` is called once, with a response or a fault.
+
+        Parameters
+        ----------
+        address : str
+        request : bytes
+        timeout_ms : Milliseconds
+            Time limit for the beginning of the response, or for the whole of it if
+            there are no limits of its transfer.
+        on_result : callable
+        transfer : TransferLimits, optional
+        """
         if self._deadlines is None:
             self._deadlines = Deadlines(asyncio.get_running_loop())
-        call = _Call(request, on_result)
+        call = _Call(request, on_result, transfer)
         call.deadline = self._deadlines.set(
             timeout_ms, partial(self._handle_timeout, address, call)
         )
@@ -140,6 +156,12 @@
             return
         if call.connection is not None:
             has_begun = call.connection.response_has_begun
+            remaining_ms = call.connection.transfer_time_left(call.transfer)
+            if remaining_ms > 0:
+                call.deadline = self._deadlines.set(
+                    remaining_ms, partial(self._handle_timeout, address, call)
+                )
+                return
             call.connection.abort()
             call.finish(CallFailure.INCOMPLETE if has_begun else CallFailure.TIMED_OUT)
             return
@@ -176,12 +198,15 @@
     def __init__(self, client: HttpClient, address: str) -> None:
         self._client = client
         self._address = address
+        self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._call: _Call | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body_parts: list[bytes] = []
         self._body_size = 0
         self._response_count = 0
+        self._first_byte_s = 0.0
+        self._last_byte_s = 0.0
         self._is_complete = False
         self._keep_alive = False
         self.is_open = True
@@ -191,6 +216,15 @@
         """Whether a part of the response to the open call has arrived."""
         return self._response_count > 0
 
+    def transfer_time_left(self, limits: TransferLimits | None) -> Milliseconds:
+        """Return for how long the response may go on without any further byte."""
+        if limits is None or not self.response_has_begun:
+            return 0
+        stall_due_s = self._last_byte_s + limits.stall_ms / MS_IN_SECOND
+        whole_due_s = self._first_byte_s + limits.longest_ms / MS_IN_SECOND
+        left_s = min(stall_due_s, whole_due_s) - self._loop.time()
+        return ceil(left_s * MS_IN_SECOND)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the new connection."""
         self._transport = transport
@@ -214,6 +248,7 @@
         if self._call is None:
             self.abort()
             return
+        self._last_byte_s = self._loop.time()
         try:
             self._parser.feed_data(memoryview(self._client.buffer)[:nbytes])
         except httptools.HttpParserError:
@@ -225,6 +260,8 @@
     def on_message_begin(self) -> None:
         """Count the responses that have started since the request."""
         self._response_count += 1
+        if self._response_count == 1:
+            self._first_byte_s = self._last_byte_s
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, up to `MAX_RESPONSE_BYTES`."""
--- a/sassafrasloft/event_loop/process.py
+++ b/sassafrasloft/event_loop/process.py
@@ -47,7 +47,7 @@
 )
 from sassafrasloft.instance.settings import InstanceSettings
 from sassafrasloft.instance.urgency import is_urgent
-from sassafrasloft.metadata import StoreOperation, StoreReply
+from sassafrasloft.metadata import StoreOperation, StoreReply, TransferLimits
 from sassafrasloft.runs import RunnerCommand, RunnerReply
 from sassafrasloft.workload import HttpLimits
 
@@ -63,6 +63,7 @@
         operation: StoreOperation,
         timeout_ms: Milliseconds,
         done: Callable[[StoreReply], None],
+        transfer: TransferLimits | None,
     ) -> None:
         """Call the store; `done` is called once, with the reply."""
 
@@ -249,6 +250,7 @@
             command.operation,
             command.timeout_ms,
             lambda reply: self.tell(StoreReplied(call_id, reply)),
+            command.transfer,
         )
 
     def _call_runner(self, command: CallRunner) -> None:
--- a/sassafrasloft/event_loop/tests/test_http.py
+++ b/sassafrasloft/event_loop/tests/test_http.py
@@ -9,6 +9,7 @@
 from sassafrasloft.event_loop.http_client import CallFailure, CallResponse, HttpClient
 from sassafrasloft.event_loop.http_messages import HttpResponse, request_bytes
 from sassafrasloft.event_loop.http_server import HttpServer
+from sassafrasloft.metadata import TransferLimits
 from sassafrasloft.workload import HttpLimits
 
 HOST = "127.0.0.1"
@@ -264,6 +265,45 @@
     asyncio.run(scenario())
 
 
+UNLIMITED_MS = 60_000
+
+
+@pytest.mark.parametrize(
+    ("limits", "parts", "expected"),
+    [
+        (None, 10, CallFailure.INCOMPLETE),
+        (TransferLimits(UNLIMITED_MS, UNLIMITED_MS), 10, CallResponse(200, b"x" * 10)),
+        (TransferLimits(100, UNLIMITED_MS), 3, CallFailure.INCOMPLETE),
+        (TransferLimits(UNLIMITED_MS, 100), 9, CallFailure.INCOMPLETE),
+    ],
+)
+def test_response_longer_than_the_timeout_arrives_within_its_transfer_limits(
+    limits, parts, expected
+):
+    """Guards against giving up a transfer that goes on, and against an endless one.
+
+    The ten parts of the response take 200 ms; the server may send fewer of them.
+    """
+
+    async def scenario():
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
+            for _ in range(parts):
+                await asyncio.sleep(0.02)
+                writer.write(b"x")
+
+        server = await asyncio.start_server(answer, HOST, 0)
+        address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+        result = asyncio.get_running_loop().create_future()
+        request = request_bytes("GET", "/a", address)
+        HttpClient(1).send(address, request, 50, result.set_result, limits)
+        assert await asyncio.wait_for(result, 5) == expected
+        server.close()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("port", ["x", "", "99999"])
 def test_call_to_invalid_address_fails_at_once(port):
     """Guards against a call that never gets a result, and keeps its connection."""
--- a/sassafrasloft/instance/commands.py
+++ b/sassafrasloft/instance/commands.py
@@ -6,18 +6,23 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.gateway.answers import CallerAnswer
 from sassafrasloft.instance.messages import Message
-from sassafrasloft.metadata import StoreOperation
+from sassafrasloft.metadata import StoreOperation, TransferLimits
 from sassafrasloft.runs import RunnerCommand
 from sassafrasloft.workload import HttpLimits
 
 
 @attrs.frozen
 class CallStore(Command):
-    """Calls the metadata store."""
+    """Calls the metadata store.
+
+    The response has to begin within `timeout_ms` and to arrive within the limits of
+    `transfer`; without these, `timeout_ms` is the limit of the whole response.
+    """
 
     call_id: int
     operation: StoreOperation
     timeout_ms: Milliseconds
+    transfer: TransferLimits | None = None
 
 
 @attrs.frozen
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -70,7 +70,11 @@
 
     # Store
     store_timeout_ms: Milliseconds = 400
-    """Timeout of store calls; a healthy store answers within 4."""
+    """Timeout of store calls without any byte of a response; a healthy store answers
+    within 4."""
+    store_transfer_ms: Milliseconds = 10_000
+    """Limit of the transfer of a response of the store that goes on: ten times as long
+    as the largest value (1 MB) takes over the slowest links (12.5 Mbit/s)."""
     watch_ms: Milliseconds = 1_500
     """Duration of a watch call. A dead connection is detected within this time plus the
     timeout, which leaves time to apply a configuration within 2,000."""
--- a/sassafrasloft/metadata/__init__.py
+++ b/sassafrasloft/metadata/__init__.py
@@ -14,6 +14,7 @@
     Transaction,
     TransactionDone,
     TransactionRefused,
+    TransferLimits,
     WatchedChanges,
     WatchItems,
 )
@@ -32,6 +33,7 @@
     "Transaction",
     "TransactionDone",
     "TransactionRefused",
+    "TransferLimits",
     "WatchItems",
     "WatchedChanges",
 ]
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -22,6 +22,7 @@
     ListItems,
     StoreFailure,
     StoreReply,
+    TransferLimits,
     WatchedChanges,
     WatchItems,
 )
@@ -98,7 +99,8 @@
             operation = WatchItems(prefix, self._known_revision, tuning.watch_ms)
             timeout = tuning.watch_ms + tuning.store_timeout_ms
         self._watch_call = board.fresh_id()
-        board.emit(CallStore(self._watch_call, operation, timeout))
+        limits = _transfer_limits(board)
+        board.emit(CallStore(self._watch_call, operation, timeout, limits))
 
     def _handle_watch_reply(self, reply: StoreReply, board: InstanceBoard) -> None:
         if isinstance(reply, StoreFailure):
@@ -197,7 +199,8 @@
             board.documents.runners_prefix, may_be_stale=stale_allowed
         )
         timeout = board.tuning.store_timeout_ms
-        board.emit(CallStore(self._runners_call, operation, timeout))
+        limits = _transfer_limits(board)
+        board.emit(CallStore(self._runners_call, operation, timeout, limits))
 
     def _handle_runner_list(self, reply: StoreReply, board: InstanceBoard) -> None:
         board.set_timer(RUNNERS_TIMER, self._list_period_ms(board))
@@ -234,3 +237,14 @@
             return tuning.runner_list_ms
         entries = len(board.leadership.members) * len(self._read_entries)
         return max(tuning.standby_list_ms, entries // STANDBY_ENTRIES_PER_MS)
+
+
+def _transfer_limits(board: InstanceBoard) -> TransferLimits:
+    """Return the limits for responses whose size has no bound but that of the store.
+
+    Load pattern: a change of a large configuration is sent to all instances at once. If
+    each of them gave up a transfer that goes on and began again, their requests would
+    keep the links full and no transfer would ever complete.
+    """
+    tuning = board.tuning
+    return TransferLimits(tuning.store_timeout_ms, tuning.store_transfer_ms)
--- a/sassafrasloft/metadata/operations.py
+++ b/sassafrasloft/metadata/operations.py
@@ -5,6 +5,24 @@
 from sassafrasloft.clock import Milliseconds
 
 
+@attrs.frozen
+class TransferLimits:
+    """Limits of the transfer of a response, from its first byte on.
+
+    A large response over a slow link takes longer than the timeout of a silent store.
+
+    Parameters
+    ----------
+    stall_ms : int
+        Longest time without any further byte.
+    longest_ms : int
+        Longest time for all bytes.
+    """
+
+    stall_ms: Milliseconds
+    longest_ms: Milliseconds
+
+
 @attrs.frozen
 class Item:
     """A key with its value in the store.
--- a/sassafrasloft/testing/fleet/command_execution.py
+++ b/sassafrasloft/testing/fleet/command_execution.py
@@ -50,6 +50,7 @@
 from sassafrasloft.testing.event_queue import Action
 from sassafrasloft.testing.fleet.processor import Processor
 from sassafrasloft.testing.fleet.runner_faults import StartFault
+from sassafrasloft.testing.fleet.store_links import OpenStoreCall, response_bytes
 from sassafrasloft.workload import JobRequest, Route
 
 INITIAL_CLOCK_MS = 5_000_000
@@ -131,6 +132,15 @@
         self.audit.check_answer(job.job.job_id, answer, self.now, job.open_requests)
 
     def _call_store(self, instance: Instance, command: CallStore) -> None:
+        if self.store_links is not None:
+            call = OpenStoreCall(instance.name, command)
+            self._open_store_calls[(instance.name, command.call_id)] = call
+            self._expire_store_call(instance, call, self.queue.now)
+            if not (self.store_down or self.cut(instance.name, STORE)):
+                self.queue.after(
+                    STORE_DELAY_MS, lambda: self._execute_at_store(instance, command)
+                )
+            return
         # Every call gets a timeout reply; the core ignores it after an earlier reply.
         timeout = StoreFailure("timed_out")
         self._deliver_store_reply(instance, command, timeout, command.timeout_ms)
@@ -139,6 +149,28 @@
                 STORE_DELAY_MS, lambda: self._execute_at_store(instance, command)
             )
 
+    def _expire_store_call(
+        self, instance: Instance, call: OpenStoreCall, started_at: float
+    ) -> None:
+        """Let a call time out once its limits are exceeded."""
+        if not call.is_open:
+            return
+        due = call.expires_at(started_at)
+        if due > self.queue.now:
+            self.queue.at(
+                due, lambda: self._expire_store_call(instance, call, started_at)
+            )
+            return
+        reason = "timed_out" if call.first_byte_at is None else "incomplete"
+        self._end_store_call(instance, call, StoreFailure(reason))
+
+    def _end_store_call(
+        self, instance: Instance, call: OpenStoreCall, reply: StoreReply
+    ) -> None:
+        call.is_open = False
+        self._open_store_calls.pop((instance.name, call.command.call_id), None)
+        self.tell(instance, StoreReplied(call.command.call_id, reply))
+
     def _execute_at_store(self, instance: Instance, command: CallStore) -> None:
         is_write = isinstance(command.operation, Transaction)
         if is_write and self.random.random() < self.delayed_write_share:
@@ -179,8 +211,18 @@
     def _send_store_reply(
         self, instance: Instance, command: CallStore, reply: StoreReply
     ) -> None:
-        if not self.cut(STORE, instance.name):
+        if self.cut(STORE, instance.name):
+            return
+        if self.store_links is None:
             self._deliver_store_reply(instance, command, reply, STORE_DELAY_MS)
+            return
+        call = self._open_store_calls.get((instance.name, command.call_id))
+        if call is not None:
+            self.store_links.transfer(
+                call,
+                response_bytes(reply),
+                lambda: self._end_store_call(instance, call, reply),
+            )
 
     def _notify_watches(self) -> None:
         waiting, self._watches = self._watches, []
@@ -201,7 +243,9 @@
         reply = WatchedChanges((), max(after, self.store.revision))
         if self.store_down or self.cut(STORE, instance.name):
             reply = StoreFailure("timed_out")
-        self._deliver_store_reply(instance, command, reply, STORE_DELAY_MS)
+            self._deliver_store_reply(instance, command, reply, STORE_DELAY_MS)
+            return
+        self._send_store_reply(instance, command, reply)
 
     def _call_runner(self, instance: Instance, command: CallRunner) -> None:
         self.queue.after(
