--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -146,6 +146,28 @@
     document: bytes
 
 
+@attrs.frozen
+class NewerConfigurationReported(Event):
+    """Another instance has a newer configuration than this one."""
+
+    stream_id: int
+
+
+@attrs.frozen
+class ConfigurationRequested(Event):
+    """Another instance, with a configuration of this version, requests a newer one."""
+
+    stream_id: int
+    version: int
+
+
+@attrs.frozen
+class ConfigurationReceived(Event):
+    """Another instance sent its configuration on request, compressed."""
+
+    compressed: bytes
+
+
 @attrs.frozen
 class RunnersOffered(Event):
     """Another instance reported runners; their entries may have expired."""
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -130,7 +130,26 @@
 @register_message("configuration")
 @attrs.frozen
 class ConfigurationOffer(Message):
-    """The configuration in force at the sender, as the operator's document."""
+    """The configuration in force at the sender, as the operator's document.
+
+    Earlier releases send it to followers; this one requests it.
+    """
+
+    document: bytes
+
+
+@register_message("configuration_request")
+@attrs.frozen
+class ConfigurationRequest(Message):
+    """Requests a newer configuration than that of `version`, which the sender has."""
+
+    version: int
+
+
+@register_message("configuration_compressed")
+@attrs.frozen
+class CompressedConfiguration(Message):
+    """The configuration in force at the sender: the document in zlib format."""
 
     document: bytes
 
@@ -161,7 +180,8 @@
     share of new jobs that the receiver may submit to the sender. `offered` counts the
     tasks that callers submitted at the sender since its last heartbeat.
     `sustained_load` is the highest load, in tasks per second, that a scheduler is known
-    to have sustained.
+    to have sustained. `configuration_version` is that in force at the sender; 0 from
+    earlier releases, which do not reply to `ConfigurationRequest`.
     """
 
     members: tuple[Member, ...] | None = None
@@ -169,6 +189,7 @@
     intake_share: float = 1.0
     offered: int = 0
     sustained_load: float = 0.0
+    configuration_version: int = 0
 
 
 @register_message("heard_query")
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -8,9 +8,12 @@
     BacklogMeasured,
     ConfigurationAdopted,
     ConfigurationOffered,
+    ConfigurationReceived,
+    ConfigurationRequested,
     MessageForGateway,
     MessageForScheduler,
     MessageReceived,
+    NewerConfigurationReported,
     RunnersOffered,
     SchedulerChanged,
     SchedulerHeartbeat,
@@ -22,7 +25,9 @@
 )
 from sassafrasloft.instance.messages import (
     CancelJob,
+    CompressedConfiguration,
     ConfigurationOffer,
+    ConfigurationRequest,
     Handover,
     Heartbeat,
     Hello,
@@ -140,7 +145,9 @@
                 self._step_down_if_fenced(board)
         elif leadership.role is Role.FOLLOWING:
             beat = Heartbeat(
-                heartbeat_delay_ms=leadership.heartbeat_delay_ms, offered=offered
+                heartbeat_delay_ms=leadership.heartbeat_delay_ms,
+                offered=offered,
+                configuration_version=board.configuration.current.version,
             )
             board.emit(SendMessage(leadership.scheduler_stream_id, beat))
             silent_ms = board.now - leadership.scheduler_last_received_at
@@ -221,10 +228,16 @@
         if isinstance(message, Heartbeat):
             stream.heartbeat_delay_ms = message.heartbeat_delay_ms
             stream.offered += message.offered
+            if message.configuration_version > board.configuration.current.version:
+                board.post(NewerConfigurationReported(stream.stream_id))
             if stream.stream_id == leadership.scheduler_stream_id:
                 self._handle_scheduler_heartbeat(message, board)
         elif isinstance(message, ConfigurationOffer):
             board.post(ConfigurationOffered(message.document))
+        elif isinstance(message, ConfigurationRequest):
+            board.post(ConfigurationRequested(stream.stream_id, message.version))
+        elif isinstance(message, CompressedConfiguration):
+            board.post(ConfigurationReceived(message.document))
         elif isinstance(message, RunnersOffer):
             board.post(RunnersOffered(message.entries))
         elif isinstance(message, Hello):
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -7,7 +7,6 @@
 from sassafrasloft.instance.commands import CloseStream, SendMessage
 from sassafrasloft.instance.events import FollowerLost, ZoneReclaimed
 from sassafrasloft.instance.messages import (
-    ConfigurationOffer,
     Handover,
     Heartbeat,
     Hello,
@@ -19,7 +18,6 @@
 from sassafrasloft.leadership.heartbeat_timeout import heartbeat_timeout_ms
 from sassafrasloft.leadership.state import (
     TOKENS_PER_REVISION,
-    LeadershipState,
     PeerStream,
     Role,
 )
@@ -118,12 +116,8 @@
             )
         )
         members = leadership.members if self._may_send_members(stream, board) else None
-        heartbeat = _heartbeat_message(members, leadership)
+        heartbeat = _heartbeat_message(members, board)
         board.emit(SendMessage(stream.stream_id, heartbeat))
-        configuration = board.configuration
-        if message.configuration_version < configuration.current.version:
-            offer = ConfigurationOffer(configuration.document)
-            board.emit(SendMessage(stream.stream_id, offer))
         self._reclaim_zones(message.zone_epochs, board)
 
     def _reclaim_zones(
@@ -150,8 +144,8 @@
             self._remove_absent_members(board)
             self._reclaim_fenced_zones(board)
         self._members_allowance = MEMBERS_PER_HEARTBEAT
-        heartbeat = _heartbeat_message(None, leadership)
-        with_members = _heartbeat_message(leadership.members, leadership)
+        heartbeat = _heartbeat_message(None, board)
+        with_members = _heartbeat_message(leadership.members, board)
         for stream in list(leadership.streams.values()):
             if not stream.follower:
                 continue
@@ -273,13 +267,15 @@
 
 
 def _heartbeat_message(
-    members: tuple[Member, ...] | None, leadership: LeadershipState
+    members: tuple[Member, ...] | None, board: InstanceBoard
 ) -> Heartbeat:
+    leadership = board.leadership
     return Heartbeat(
         members,
         leadership.heartbeat_delay_ms,
         leadership.intake_share,
         sustained_load=leadership.sustained_load,
+        configuration_version=board.configuration.current.version,
     )
 
 
--- a/sassafrasloft/testing/fleet/tests/situations.py
+++ b/sassafrasloft/testing/fleet/tests/situations.py
@@ -53,6 +53,24 @@
     return [name for name in world.instances if name != scheduler]
 
 
+def added_routes(count: int) -> tuple[Route, ...]:
+    """Return further routes whose documents have the size of real ones."""
+    padding = "x" * 110
+    return tuple(
+        Route(f"r-{n:07}-{padding}", HOST, f"/p{n:07}/", SERVICE, 1, 2, 1.6, 60, 1_500)
+        for n in range(count)
+    )
+
+
+def versions_in_force(world: FleetWorld) -> list[int]:
+    """Return the version of the configuration at each process that is alive."""
+    return [
+        one.core.board.configuration.current.version
+        for one in world.instances.values()
+        if one.alive
+    ]
+
+
 def submit_lookup(world: FleetWorld, number: int, instance: str) -> TestJob:
     """Submit a short urgent job of four tasks."""
     return world.submit(simple_job(number, 4, 14_000, 60), LOOKUP, instance)
--- a/sassafrasloft/testing/fleet/tests/test_large_configurations.py
+++ b/sassafrasloft/testing/fleet/tests/test_large_configurations.py
@@ -2,11 +2,13 @@
 
 import pytest
 
-from sassafrasloft.testing.fleet.command_execution import HOST, SERVICE
 from sassafrasloft.testing.fleet.store_links import StoreLinks
-from sassafrasloft.testing.fleet.tests.situations import ROUTES
+from sassafrasloft.testing.fleet.tests.situations import (
+    ROUTES,
+    added_routes,
+    versions_in_force,
+)
 from sassafrasloft.testing.fleet.world import FleetWorld
-from sassafrasloft.workload import Route
 
 CONFIG_APPLY_MS = 3_000
 """Time within which each connected instance applies a new configuration."""
@@ -19,16 +21,6 @@
 GROWN_ZONES = {"north": 11, "south": 10, "west": 10}
 
 
-def routes_with_documents_of_210_bytes(count):
-    """Return further routes whose JSON has the size of the platform's documents."""
-    return tuple(
-        Route(
-            f"r-{n:07}-{'x' * 110}", HOST, f"/p{n:07}/", SERVICE, 1, 2, 1.6, 60, 1_500
-        )
-        for n in range(count)
-    )
-
-
 def link_rate(name):
     number = int(name.rpartition("-")[2])
     mbit = FAST_LINK_MBIT if number < FAST_INSTANCES else SLOW_LINK_MBIT
@@ -45,14 +37,6 @@
     return world
 
 
-def versions(world):
-    return [
-        one.core.board.configuration.current.version
-        for one in world.instances.values()
-        if one.alive
-    ]
-
-
 @pytest.mark.parametrize("phase_ms", [0, 700, 1_400])
 def test_large_configuration_is_adopted_over_slow_links(phase_ms):
     """Guards against a timeout that is shorter than the transfer of the document.
@@ -63,11 +47,11 @@
     world.run(phase_ms)
     routes = ROUTES
     for version, added in ((2, 350), (3, 900), (4, 2_500)):
-        routes = ROUTES + routes_with_documents_of_210_bytes(len(routes) - 3 + added)
+        routes = ROUTES + added_routes(len(routes) - 3 + added)
         world.configure(version, routes)
         world.run(CONFIG_APPLY_MS)
-        assert versions(world) == [version] * len(world.instances)
+        assert versions_in_force(world) == [version] * len(world.instances)
     assert len(world.documents.write(world.configuration)) > 700_000
     world.configure(5, routes[:-1])
     world.run(CONFIG_APPLY_MS)
-    assert versions(world) == [5] * len(world.instances)
+    assert versions_in_force(world) == [5] * len(world.instances)
