--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -177,6 +177,7 @@
             board.now + remaining_ms,
             objective_ms,
             is_caller_retry=is_retry,
+            configuration_version=board.configuration.current.version,
         )
         job.requests.add(event.request_id)
         if event.trace is not None:
@@ -214,11 +215,20 @@
             job.predecessor_revision,
             job.span.trace_id if job.span else "",
             job.span.span_id if job.span else "",
+            *self._newer_route(job, board),
         )
         job.sent = True
         job.sent_to_scheduler = True
         self._send(message, board)
 
+    @staticmethod
+    def _newer_route(job: OpenJob, board: InstanceBoard) -> tuple[int, Route | None]:
+        """Return the route of a job, with its version, if the scheduler may lack it."""
+        version = job.configuration_version
+        if version <= board.leadership.scheduler_configuration_version:
+            return 0, None
+        return version, job.route
+
     def _send(self, message: Message, board: InstanceBoard) -> None:
         if self._scheduler_stream == OWN_INSTANCE:
             board.post(MessageForScheduler(OWN_INSTANCE, message))
--- a/sassafrasloft/gateway/requests.py
+++ b/sassafrasloft/gateway/requests.py
@@ -23,6 +23,8 @@
         Whether the job was sent to the current scheduler.
     is_caller_retry : bool
         Whether its caller sent it before, possibly to another instance.
+    configuration_version : int
+        Version of the configuration by which the route was chosen.
     """
 
     job: JobRequest
@@ -34,6 +36,7 @@
     sent: bool = False
     sent_to_scheduler: bool = False
     is_caller_retry: bool = False
+    configuration_version: int = 0
     caller_span: TraceParent | None = None
     span: TraceParent | None = None
     """This instance's span, a child of `caller_span`; None unless the job is traced."""
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -11,7 +11,7 @@
 
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.runs.runners import RunnerEntry
-from sassafrasloft.workload import JobRequest, from_positional, to_positional
+from sassafrasloft.workload import JobRequest, Route, from_positional, to_positional
 
 _KINDS: dict[str, type["Message"]] = {}
 _NAMES: dict[type["Message"], str] = {}
@@ -231,7 +231,9 @@
     `predecessor_runs_ms` is how long runs of the predecessor scheduler may go on,
     on runners that no other instance knows. `predecessor_revision` is its
     leadership revision, 0 if it was acting. `trace_id` and `span_id` identify the
-    sender's span if the job is traced.
+    sender's span if the job is traced. `newer_route` is the route itself if the sender
+    has a newer configuration than the scheduler has reported, of the version
+    `configuration_version`.
     """
 
     job: JobRequest
@@ -243,6 +245,8 @@
     predecessor_revision: int = 0
     trace_id: str = ""
     span_id: str = ""
+    configuration_version: int = 0
+    newer_route: Route | None = None
 
 
 @register_message("cancel")
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -266,6 +266,7 @@
         leadership.scheduler_delay_ms = message.heartbeat_delay_ms
         leadership.intake_share = message.intake_share
         leadership.sustained_load = message.sustained_load
+        leadership.scheduler_configuration_version = message.configuration_version
         self._post_scheduler_heartbeat(board)
         if message.members is not None:
             leadership.members = message.members
@@ -311,6 +312,7 @@
         leadership.scheduler_stream_id = stream.stream_id
         leadership.scheduler_last_received_at = board.now
         leadership.scheduler_delay_ms = 0
+        leadership.scheduler_configuration_version = 0
         leadership.scheduler_is_acting = message.acting
         leadership.scheduler_address = stream.address
         leadership.scheduler_zone = message.zone
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -135,6 +135,8 @@
     """Fraction of new jobs that may be submitted to the scheduler."""
     sustained_load: float = 0.0
     """Highest load that a scheduler is known to have sustained, in tasks per second."""
+    scheduler_configuration_version: int = 0
+    """Version of the configuration that the current scheduler reported last."""
     scheduler_is_acting: bool = False
     """Whether the scheduler is an acting scheduler."""
     scheduler_address: str = ""
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -39,6 +39,7 @@
     startable_work,
 )
 from sassafrasloft.traces.traceparent import TraceParent
+from sassafrasloft.workload import Route
 
 REFUSAL_TIMER = "scheduling.wait"
 PRUNE_TIMER = "scheduling.prune"
@@ -144,7 +145,7 @@
         if kept is not None and kept[0] in (JobOutcome.COMPLETED, JobOutcome.FAILED):
             self._send(stream_id, JobAnswer(job_id, kept[0].value, "kept"), board)
             return
-        route = board.configuration.route_named(message.route)
+        route = _route_of(message, board)
         if route is None:
             answer = JobAnswer(job_id, JobOutcome.NO_SUCH_ROUTE.value, message.route)
             self._send(stream_id, answer, board)
@@ -395,3 +396,14 @@
             del board.jobs.answers[job_id]
         if board.jobs.inherited_at <= oldest:
             board.jobs.inherited.clear()
+
+
+def _route_of(message: SubmitJob, board: InstanceBoard) -> Route | None:
+    """Return the route of a job by the newer of the configurations that know it.
+
+    The instance that submits the job may have got a newer one than the scheduler.
+    """
+    configuration = board.configuration
+    if message.configuration_version > configuration.current.version:
+        return message.newer_route
+    return configuration.route_named(message.route)
--- a/sassafrasloft/testing/fleet/tests/test_configuration_exchange.py
+++ b/sassafrasloft/testing/fleet/tests/test_configuration_exchange.py
@@ -2,20 +2,25 @@
 
 from sassafrasloft.instance.commands import SendMessage
 from sassafrasloft.instance.messages import encode_message
-from sassafrasloft.testing.fleet.command_execution import STORE
+from sassafrasloft.testing.fleet.command_execution import HOST, SERVICE, STORE
 from sassafrasloft.testing.fleet.tests.situations import (
     ROUTES,
     added_routes,
+    follower_names,
+    is_completed,
     observe_commands,
     scheduler_of,
     settled_world,
     versions_in_force,
 )
+from sassafrasloft.testing.fleet.world import simple_job
+from sassafrasloft.workload import Route
 
 CONFIG_APPLY_MS = 2_000
 """Time within which each connected instance applies a new configuration."""
 SLOW_LINK_BYTES_PER_MS = 1_562
 """A link of 12.5 Mbit/s."""
+NEW_ROUTE = Route("new", HOST, "/new/", SERVICE, 1, 2, 1.6, 60, 1_500)
 
 
 def test_successor_does_not_send_a_large_configuration_to_all_followers_at_once():
@@ -57,3 +62,17 @@
         world.configure(version, ROUTES)
         world.run(CONFIG_APPLY_MS)
         assert versions_in_force(world) == [version] * len(world.instances)
+
+
+def test_job_of_a_new_route_runs_under_a_scheduler_that_the_store_does_not_reach():
+    """Guards against "no such route" from a scheduler older than its follower."""
+    world = settled_world()
+    scheduler = scheduler_of(world)
+    world.cut = lambda sender, receiver: sender == STORE and receiver == scheduler
+    world.configure(2, (*ROUTES, NEW_ROUTE))
+    world.run(100)
+    follower = follower_names(world)[0]
+    early = world.submit(simple_job(1, 1, 14_000, 60), NEW_ROUTE, follower)
+    world.run(CONFIG_APPLY_MS)
+    assert is_completed(early)
+    assert versions_in_force(world) == [2] * len(world.instances)
