--- a/sassafrasloft/event_loop/http_client.py
+++ b/sassafrasloft/event_loop/http_client.py
@@ -31,6 +31,8 @@
     """No part of the response arrived in time."""
     INCOMPLETE = "incomplete"
     """A part of the response arrived in time, but not the whole."""
+    TOO_LARGE = "too_large"
+    """The response is longer than `MAX_RESPONSE_BYTES`."""
     BROKEN = "broken"
     """The connection closed after the request was sent, or the response was invalid."""
 
@@ -290,7 +292,7 @@
         else:
             self.abort()
         if self._body_size > MAX_RESPONSE_BYTES:
-            call.finish(CallFailure.BROKEN)
+            call.finish(CallFailure.TOO_LARGE)
         else:
             call.finish(CallResponse(status, b"".join(self._body_parts)))
 
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -30,6 +30,8 @@
 
 WATCH_TIMER = "metadata.watch"
 RUNNERS_TIMER = "metadata.runners"
+PROBE_WAIT_MS = 1
+"""Duration of a watch that only asks for the changes that have happened."""
 STANDBY_ENTRIES_PER_MS = 30
 """Limit of entries of runners that all instances read which do not schedule: about
 100 Mbit/s, a tenth of the store's link."""
@@ -96,8 +98,11 @@
             operation = ListItems(prefix)
             timeout = tuning.store_timeout_ms
         else:
-            operation = WatchItems(prefix, self._known_revision, tuning.watch_ms)
-            timeout = tuning.watch_ms + tuning.store_timeout_ms
+            # After a failure the store is to answer at once, so that its recovery is
+            # detected sooner.
+            wait_ms = PROBE_WAIT_MS if self._failure_reason else tuning.watch_ms
+            operation = WatchItems(prefix, self._known_revision, wait_ms)
+            timeout = wait_ms + tuning.store_timeout_ms
         self._watch_call = board.fresh_id()
         limits = _transfer_limits(board)
         board.emit(CallStore(self._watch_call, operation, timeout, limits))
@@ -105,9 +110,9 @@
     def _handle_watch_reply(self, reply: StoreReply, board: InstanceBoard) -> None:
         if isinstance(reply, StoreFailure):
             self._record_store_reachability(False, reply.reason, board)
-            # The store answers a list at once, unlike a watch, so that its recovery
-            # is detected sooner.
-            self._known_revision = -1
+            if reply.partly_received:
+                # The changes may be too many; a list has the newest of each key only.
+                self._known_revision = -1
             board.set_timer(WATCH_TIMER, board.tuning.store_retry_ms)
             return
         self._record_store_reachability(True, "", board)
--- a/sassafrasloft/metadata/operations.py
+++ b/sassafrasloft/metadata/operations.py
@@ -155,8 +155,11 @@
         taken effect, or may still do so.
     lease_not_found : bool
         Whether the lease of the operation has expired.
+    partly_received : bool
+        Whether a part of the reply arrived.
     """
 
     reason: str
     not_applied: bool = False
     lease_not_found: bool = False
+    partly_received: bool = False
--- a/sassafrasloft/testing/fleet/command_execution.py
+++ b/sassafrasloft/testing/fleet/command_execution.py
@@ -161,8 +161,10 @@
                 due, lambda: self._expire_store_call(instance, call, started_at)
             )
             return
-        reason = "timed_out" if call.first_byte_at is None else "incomplete"
-        self._end_store_call(instance, call, StoreFailure(reason))
+        has_begun = call.first_byte_at is not None
+        reason = "incomplete" if has_begun else "timed_out"
+        reply = StoreFailure(reason, partly_received=has_begun)
+        self._end_store_call(instance, call, reply)
 
     def _end_store_call(
         self, instance: Instance, call: OpenStoreCall, reply: StoreReply
--- a/sassafrasloft/testing/fleet/tests/test_large_configurations.py
+++ b/sassafrasloft/testing/fleet/tests/test_large_configurations.py
@@ -55,3 +55,27 @@
     world.configure(5, routes[:-1])
     world.run(CONFIG_APPLY_MS)
     assert versions_in_force(world) == [5] * len(world.instances)
+
+
+def test_recovery_of_the_store_repeats_no_configuration():
+    """Guards against a document that all instances read again after each outage."""
+    world = world_with_links(GROWN_ZONES)
+    world.configure(2, ROUTES + added_routes(3_750))
+    world.run(CONFIG_APPLY_MS)
+    before = world.store_links.sent_bytes
+    for _ in range(3):
+        world.store_down = True
+        world.run(2_500)
+        world.store_down = False
+        world.run(1_000)
+    assert all(
+        one.core.board.configuration.store_reachable for one in world.instances.values()
+    )
+    document_bytes = len(world.documents.write(world.configuration))
+    assert world.store_links.sent_bytes - before < document_bytes
+    world.store_down = True
+    world.run(1_500)
+    world.configure(3, ROUTES)
+    world.store_down = False
+    world.run(CONFIG_APPLY_MS)
+    assert versions_in_force(world) == [3] * len(world.instances)
