--- a/sassafrasloft/instance/assembly.py
+++ b/sassafrasloft/instance/assembly.py
@@ -15,6 +15,7 @@
 from sassafrasloft.metadata import exchange as _exchange  # noqa: F401 - registers
 from sassafrasloft.metadata.adoption import StoreDocuments
 from sassafrasloft.runs import controller as _runs  # noqa: F401 - registers
+from sassafrasloft.runs import crash_reports as _crash_reports  # noqa: F401 - registers
 from sassafrasloft.scheduling import controller as _scheduling  # noqa: F401 - registers
 
 
--- a/sassafrasloft/instance/board.py
+++ b/sassafrasloft/instance/board.py
@@ -13,7 +13,7 @@
 from sassafrasloft.invariants import InvariantChecker
 from sassafrasloft.leadership.state import LeadershipState
 from sassafrasloft.metadata.adoption import ConfigurationState, StoreDocuments
-from sassafrasloft.runs import RunnerPool
+from sassafrasloft.runs import CrashHistory, RunnerPool
 from sassafrasloft.scheduling import JobTable
 from sassafrasloft.scheduling.estimates import DurationEstimates
 
@@ -69,6 +69,7 @@
         self.configuration = ConfigurationState()
         self.leadership = LeadershipState()
         self.pool = RunnerPool()
+        self.crashes = CrashHistory()
         self.jobs = JobTable()
         self.estimates = DurationEstimates()
         self.requests = OpenRequests()
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -6,7 +6,7 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.messages import Message
 from sassafrasloft.metadata import StoreReply
-from sassafrasloft.runs import Run, RunEnd, RunnerEntry, RunnerReply
+from sassafrasloft.runs import Run, RunEnd, RunnerEntry, RunnerReply, TaskCrashes
 from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, ServiceConfiguration
 
@@ -263,6 +263,27 @@
     message: Message
 
 
+@attrs.frozen
+class RunnerCrashed(Event):
+    """A runner crashed; `counts` has the crashes under each task that was on it."""
+
+    counts: tuple[TaskCrashes, ...]
+
+
+@attrs.frozen
+class CrashCountsReceived(Event):
+    """The scheduler sent its counts of crashes under tasks."""
+
+    counts: tuple[TaskCrashes, ...]
+
+
+@attrs.frozen
+class FollowerAccepted(Event):
+    """An instance that accepts counts of crashes has become a follower."""
+
+    stream_id: int
+
+
 @attrs.frozen
 class FollowerLost(Event):
     """A follower is lost; `silent` is set if it may still be running."""
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.runs.crash_history import TaskCrashes
 from sassafrasloft.runs.runners import RunnerEntry
 from sassafrasloft.workload import JobRequest, Route, from_positional, to_positional
 
@@ -97,7 +98,8 @@
     """First message on a stream, from the instance that opened it.
 
     `rounds` are the zone epochs of the fencing tokens that the sender has used as an
-    acting scheduler.
+    acting scheduler. `accepts_crash_counts` is false from earlier releases, which do
+    not know the message `CrashCounts`.
     """
 
     name: str
@@ -107,6 +109,7 @@
     cores: float
     zone_epochs: tuple[ZoneEpoch, ...] = ()
     configuration_version: int = 0
+    accepts_crash_counts: bool = False
 
 
 @register_message("welcome")
@@ -162,6 +165,14 @@
     entries: tuple[RunnerEntry, ...]
 
 
+@register_message("crashes")
+@attrs.frozen
+class CrashCounts(Message):
+    """Crashes of runners under tasks, as counted by schedulers."""
+
+    counts: tuple[TaskCrashes, ...]
+
+
 @register_message("not_scheduling")
 @attrs.frozen
 class NotScheduling(Message):
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -10,6 +10,7 @@
     ConfigurationOffered,
     ConfigurationReceived,
     ConfigurationRequested,
+    CrashCountsReceived,
     MessageForGateway,
     MessageForScheduler,
     MessageReceived,
@@ -28,6 +29,7 @@
     CompressedConfiguration,
     ConfigurationOffer,
     ConfigurationRequest,
+    CrashCounts,
     Handover,
     Heartbeat,
     Hello,
@@ -238,6 +240,8 @@
             board.post(ConfigurationRequested(stream.stream_id, message.version))
         elif isinstance(message, CompressedConfiguration):
             board.post(ConfigurationReceived(message.document))
+        elif isinstance(message, CrashCounts):
+            board.post(CrashCountsReceived(message.counts))
         elif isinstance(message, RunnersOffer):
             board.post(RunnersOffered(message.entries))
         elif isinstance(message, Hello):
--- a/sassafrasloft/leadership/elections.py
+++ b/sassafrasloft/leadership/elections.py
@@ -110,6 +110,7 @@
         settings.cores,
         board.leadership.used_zone_epochs(),
         board.configuration.current.version,
+        accepts_crash_counts=True,
     )
 
 
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -5,7 +5,7 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CloseStream, SendMessage
-from sassafrasloft.instance.events import FollowerLost, ZoneReclaimed
+from sassafrasloft.instance.events import FollowerAccepted, FollowerLost, ZoneReclaimed
 from sassafrasloft.instance.messages import (
     Handover,
     Heartbeat,
@@ -98,6 +98,7 @@
         stream.follower = True
         stream.name = message.name
         stream.zone = message.zone
+        stream.accepts_crash_counts = message.accepts_crash_counts
         self._record_member(
             message.name, message.zone, message.peers_address, message.cores, board
         )
@@ -118,6 +119,8 @@
         members = leadership.members if self._may_send_members(stream, board) else None
         heartbeat = _heartbeat_message(members, board)
         board.emit(SendMessage(stream.stream_id, heartbeat))
+        if stream.accepts_crash_counts:
+            board.post(FollowerAccepted(stream.stream_id))
         self._reclaim_zones(message.zone_epochs, board)
 
     def _reclaim_zones(
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -92,6 +92,8 @@
     follower: bool = False
     last_received_at: Milliseconds = 0
     opened_at: Milliseconds = 0
+    accepts_crash_counts: bool = False
+    """Whether the other instance knows the message `CrashCounts`."""
     heartbeat_delay_ms: Milliseconds = 0
     """Heartbeat delay that the other instance reported last."""
     members_version: int = 0
--- a/sassafrasloft/runs/__init__.py
+++ b/sassafrasloft/runs/__init__.py
@@ -1,5 +1,6 @@
 """Runs of tasks on runners: commands, leases, results and the state of runners."""
 
+from sassafrasloft.runs.crash_history import CrashHistory, StartRule, TaskCrashes
 from sassafrasloft.runs.orders import (
     CommandOutcome,
     EndedRun,
@@ -23,6 +24,9 @@
 )
 
 __all__ = [
+    "CrashHistory",
+    "StartRule",
+    "TaskCrashes",
     "EndedRun",
     "PollReply",
     "PollRuns",
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -155,6 +155,8 @@
             return  # A late reply of an earlier process.
         if polling.is_new_incarnation(view, reply):
             view = self._replace_incarnation(view, reply, call_id, board)
+        else:
+            board.crashes.record_reply(view.runner_id)
         first = not view.contacted
         view.contacted = True
         view.process_started_at_ms = max(
@@ -179,10 +181,12 @@
         """Replace the view of a restarted runner; keep runs that it may still have."""
         board.log("runner_restarted", runner=view.runner_id, runs=len(view.runs))
         listed = {(one.task, one.number) for one in reply.running}
-        for run in list(view.runs.values()):
-            if (run.task, run.number) in listed or not _is_certainly_absent(
-                run, call_id
-            ):
+        unlisted = [
+            run for run in view.runs.values() if (run.task, run.number) not in listed
+        ]
+        self._record_crash(view, {run.task for run in unlisted}, board)
+        for run in unlisted:
+            if not _is_certainly_absent(run, call_id):
                 continue
             self._finish_run(
                 view, run, RunEnd.LEASE_EXPIRED, "the runner restarted", board
@@ -293,6 +297,8 @@
         for run in list(view.runs.values()):
             if board.now > run.lease_until + tuning.lapse_margin_ms + takeover_ms:
                 board.count("runs_lapsed")
+                if view.unanswered:
+                    board.crashes.record_loss(view.runner_id, run.task, board.now)
                 self._finish_run(
                     view, run, RunEnd.LEASE_EXPIRED, "the lease expired", board
                 )
--- a/sassafrasloft/runs/runner_list.py
+++ b/sassafrasloft/runs/runner_list.py
@@ -2,12 +2,18 @@
 
 from sassafrasloft.blackboard import Controller
 from sassafrasloft.instance.board import InstanceBoard
-from sassafrasloft.instance.events import LeadershipGained, LeadershipLost, RunFinished
+from sassafrasloft.instance.events import (
+    LeadershipGained,
+    LeadershipLost,
+    RunFinished,
+    RunnerCrashed,
+)
 from sassafrasloft.runs import polling
 from sassafrasloft.runs.contacts import ContactQueue
 from sassafrasloft.runs.orders import RunEnd
 from sassafrasloft.runs.runners import Run, RunnerEntry, RunnerView
 
+MAX_LOGGED_TASKS = 10
 SWEEP_TIMER = "runs.sweep"
 SWEEP_INTERVAL_MS = 25
 """Interval between checks for expired leases and overdue runs."""
@@ -167,10 +173,34 @@
     def _drop_runner(self, view: RunnerView, reason: str, board: InstanceBoard) -> None:
         """Remove a runner whose process is certainly gone and finish its runs."""
         board.log("runner_gone", runner=view.runner_id, reason=reason)
+        self._record_crash(view, set(view.runs), board)
         for run in list(view.runs.values()):
             self._finish_run(view, run, RunEnd.LEASE_EXPIRED, reason, board)
         board.pool.runners.pop(view.runner_id, None)
 
+    def _record_crash(
+        self, view: RunnerView, tasks: set[str], board: InstanceBoard
+    ) -> None:
+        """Record that the process of a runner has ended under these tasks.
+
+        A runner that drains has left as it announced, whatever was still on it.
+        """
+        if view.entry.draining:
+            board.crashes.record_reply(view.runner_id)
+            return
+        counts = board.crashes.record_crash(view.runner_id, tasks, board.now)
+        if not counts:
+            return
+        board.count("runner_crashes")
+        board.log(
+            "runner_crashed",
+            "WARNING",
+            runner=view.runner_id,
+            tasks=[f"{one.task} {one.crashes}" for one in counts[:MAX_LOGGED_TASKS]],
+            count=len(counts),
+        )
+        board.post(RunnerCrashed(counts))
+
     def _finish_run(
         self,
         view: RunnerView,
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -5,6 +5,7 @@
 import attrs
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.runs.crash_history import StartRule
 from sassafrasloft.workload import Resources
 
 
@@ -90,6 +91,8 @@
     """Whether a predecessor scheduler started the run."""
     away_factor: float = 1.0
     """Factor on the duration if the data is in another rack; 1 in the same rack."""
+    start_rule: StartRule = StartRule.ANYWHERE
+    """Where the task was allowed to start."""
 
     @property
     def expected_on_runner_ms(self) -> float:
@@ -147,6 +150,10 @@
     """Starts without a reply since the last accepted one. Consecutive lost starts count
     once if the runner replied to nothing in between."""
     start_lost_at: Milliseconds = -1
+    suspect_runs: int = 0
+    """Runs of tasks under which other runners were lost."""
+    isolated_runs: int = 0
+    """Runs beside which no other may start."""
 
     @property
     def runner_id(self) -> str:
@@ -167,11 +174,17 @@
         """Add a run and subtract its demand from the free capacity."""
         self.runs[run.task] = run
         self.free = self.free.minus(run.demand)
+        self._count_suspects(run, 1)
+
+    def _count_suspects(self, run: Run, change: int) -> None:
+        self.suspect_runs += change * (run.start_rule is not StartRule.ANYWHERE)
+        self.isolated_runs += change * (run.start_rule is StartRule.ALONE)
 
     def remove(self, run: Run) -> None:
         """Remove an ended run and return its demand to the free capacity."""
         if self.runs.pop(run.task, None) is not None:
             self.free = self.free.plus(run.demand)
+            self._count_suspects(run, -1)
 
 
 @attrs.define(eq=False)
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -6,7 +6,7 @@
 
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.messages import JobProgress
-from sassafrasloft.runs import Run
+from sassafrasloft.runs import Run, StartRule
 from sassafrasloft.scheduling.backlog import Backlog
 from sassafrasloft.scheduling.work_rate import WorkRate
 from sassafrasloft.traces.traceparent import TraceParent
@@ -51,6 +51,8 @@
     failures: int = 0
     failed_on: set[str] = attrs.field(factory=set)
     """Runners on which it failed, or from which an overdue run was moved."""
+    start_rule: StartRule = StartRule.ANYWHERE
+    """Where it may start, as of the last scheduling pass."""
     not_before: Milliseconds = 0
     """Earliest start: until then a run unknown to this scheduler may exist."""
 
--- a/sassafrasloft/scheduling/placement.py
+++ b/sassafrasloft/scheduling/placement.py
@@ -8,7 +8,7 @@
 from abc import ABC, abstractmethod
 
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.runs import RunnerView
+from sassafrasloft.runs import RunnerView, StartRule
 from sassafrasloft.runs.health import current_slowness
 from sassafrasloft.scheduling.free_capacity import FreeCapacity
 from sassafrasloft.scheduling.jobs import ScheduledJob, ScheduledTask
@@ -29,6 +29,9 @@
 FAILED_PENALTY_MILLICORES = 80_000
 """Cost of a runner on which the task has failed before, as remaining capacity."""
 
+SUSPECT_PENALTY_MILLICORES = 20_000
+"""Cost of a runner with a task that may crash it, as remaining capacity."""
+
 
 class Placement(ABC):
     """Chooses the runner for a task."""
@@ -98,6 +101,8 @@
     ) -> RunnerView | None:
         """Return the runner with the lowest cost, based on remaining free capacity."""
         step = job.request.steps[task.step]
+        if task.start_rule in (StartRule.APART, StartRule.ALONE):
+            return _emptiest_runner(capacity, job, task, now)
         millicores = step.demand.millicores
         waits_for_rack = _should_wait_for_rack(capacity, job, step, latest_end, now)
         best: RunnerView | None = None
@@ -118,6 +123,8 @@
                 if waits_for_rack:
                     continue
                 cost += REMOTE_PENALTY_MILLICORES
+            if view.suspect_runs:
+                cost += SUSPECT_PENALTY_MILLICORES
             if view.runner_id in task.failed_on:
                 cost += FAILED_PENALTY_MILLICORES
             if cost < best_cost:
@@ -126,6 +133,27 @@
         return best
 
 
+def _emptiest_runner(
+    capacity: FreeCapacity, job: ScheduledJob, task: ScheduledTask, now: Milliseconds
+) -> RunnerView | None:
+    """Return the runner with the fewest runs, which a crash would end as well."""
+    step = job.request.steps[task.step]
+    able = [
+        view
+        for view in capacity.with_free_millicores(step.demand.millicores)
+        if may_run(view, job, task, step)
+    ]
+    return min(
+        able,
+        key=lambda view: (
+            len(view.runs),
+            current_slowness(view, now) > SLOWNESS_LIMIT,
+            -view.free.millicores,
+        ),
+        default=None,
+    )
+
+
 def _should_wait_for_rack(
     capacity: FreeCapacity,
     job: ScheduledJob,
@@ -158,6 +186,8 @@
         return False
     if step.required_label and step.required_label not in view.entry.labels:
         return False
+    if view.isolated_runs or (task.start_rule is StartRule.ALONE and view.runs):
+        return False
     if view.quarantines and view.runs:
         return False
     if step.max_per_runner:
--- a/sassafrasloft/scheduling/task_placer.py
+++ b/sassafrasloft/scheduling/task_placer.py
@@ -13,13 +13,18 @@
 from sassafrasloft.instance.events import RunPlaced
 from sassafrasloft.instance.tracing import child_span, record_span
 from sassafrasloft.invariants import InstanceInvariant
-from sassafrasloft.runs import Run, RunnerView, RunState
+from sassafrasloft.runs import Run, RunnerView, RunState, StartRule
 from sassafrasloft.runs.health import current_slowness
 from sassafrasloft.scheduling.admission import Admission, Refusal, retry_after_s
 from sassafrasloft.scheduling.backlog import WorkByClass
 from sassafrasloft.scheduling.free_capacity import FreeCapacity
 from sassafrasloft.scheduling.job_lifecycle import REFUSAL_TIMER, JobLifecycle
-from sassafrasloft.scheduling.jobs import ScheduledJob, ScheduledTask, TaskState
+from sassafrasloft.scheduling.jobs import (
+    JobOutcome,
+    ScheduledJob,
+    ScheduledTask,
+    TaskState,
+)
 from sassafrasloft.scheduling.ordering import JobOrder
 from sassafrasloft.scheduling.placement import SLOWNESS_LIMIT, Placement
 from sassafrasloft.scheduling.predecessor_runs import (
@@ -28,6 +33,8 @@
     startable_work,
 )
 
+RUNNERS_PER_ISOLATED_RUN = 8
+"""One runner in so many may serve a task that has to be alone."""
 _NEVER = float("inf")
 _SORT_KEY = attrgetter("sort_key")
 
@@ -134,6 +141,8 @@
     def _examine(
         self, job: ScheduledJob, this_pass: "_SchedulingPass", board: InstanceBoard
     ) -> None:
+        if self._gives_up(job, board):
+            return
         service = job.route.service
         capacity = this_pass.free_capacities.get(service)
         if capacity is None:
@@ -154,6 +163,19 @@
             this_pass.next_refusal_at = refusal_at
         this_pass.add_waiting_work(job, board)
 
+    def _gives_up(self, job: ScheduledJob, board: InstanceBoard) -> bool:
+        """Fail a job if too many runners have crashed under one of its tasks."""
+        if board.crashes.is_empty:
+            return False
+        for task in job.waiting:
+            task.start_rule = board.crashes.rule_for(task.name)
+            if task.start_rule is StartRule.NOWHERE:
+                board.count("tasks_given_up")
+                reason = f"runners crashed under {task.name}"
+                self._lifecycle.end(job, JobOutcome.FAILED, reason, board)
+                return True
+        return False
+
     def _refuse_expired(
         self,
         job: ScheduledJob,
@@ -257,6 +279,8 @@
                 continue
             if board.now < task.not_before:
                 continue
+            if not _may_start_now(task, board):
+                continue
             view = self._placement.choose(capacity, job, task, latest_end, board.now)
             if view is not None:
                 self._start(job, task, view, board)
@@ -280,6 +304,7 @@
             expected,
             RunState.STARTING,
             board.now,
+            start_rule=task.start_rule,
         )
         board.auditor.check(
             InstanceInvariant.STARTS_AT_MOST_ONCE,
@@ -318,6 +343,20 @@
         board.post(RunPlaced(run, job.request.spec))
 
 
+def _may_start_now(task: ScheduledTask, board: InstanceBoard) -> bool:
+    """Return whether a task under which runners were lost may start now.
+
+    A bounded share of the runners serves tasks that have to be alone.
+    """
+    if task.start_rule is StartRule.WAIT:
+        return False
+    if task.start_rule is not StartRule.ALONE:
+        return True
+    runners = board.pool.runners.values()
+    isolated = sum(view.isolated_runs for view in runners)
+    return isolated < max(1, len(runners) // RUNNERS_PER_ISOLATED_RUN)
+
+
 def _describe_capacity(
     capacity: FreeCapacity, waiting: int, board: InstanceBoard
 ) -> str:
