--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -4,6 +4,7 @@
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
+    ConfigurationAdopted,
     LeadershipGained,
     LeadershipLost,
     RunAccepted,
@@ -34,6 +35,7 @@
     """Owns `board.pool`."""
 
     handles = (
+        ConfigurationAdopted,
         LeadershipGained,
         LeadershipLost,
         RunnersListed,
@@ -58,6 +60,12 @@
         elif isinstance(event, TimerFired):
             if event.name == SWEEP_TIMER and board.pool.active:
                 self._sweep(board)
+        elif isinstance(event, ConfigurationAdopted):
+            board.pool.unguarded_services = frozenset(
+                one.name
+                for one in event.configuration.services
+                if not one.rejects_overload
+            )
         elif isinstance(event, RunnersListed):
             self._apply_runner_list(event.entries, board)
         elif isinstance(event, RunnersOffered):
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -217,6 +217,8 @@
     orphans: dict[str, Run] = attrs.field(factory=dict)
     """Runs by task that a runner listed and that belong to no known job."""
     activated_at: Milliseconds = 0
+    unguarded_services: frozenset[str] = frozenset()
+    """Services whose runners start what exceeds their capacity."""
     changed: bool = False
     """Whether free capacity or health has changed since tasks were last placed."""
 
@@ -230,9 +232,16 @@
             and view.excluded_until <= now
             and view.unanswered == 0
             and not (view.quarantines and view.runs)
-            and not (self.acting and self.has_orphans(view))
+            and not (self._counts_orphans(view) and self.has_orphans(view))
         )
 
+    def _counts_orphans(self, view: RunnerView) -> bool:
+        """Return whether a runner takes no work beside runs of unknown demand.
+
+        A runner that does not reject what exceeds its capacity would start too much.
+        """
+        return self.acting or view.entry.service in self.unguarded_services
+
     def factor_on(self, view: RunnerView, rack: str) -> float:
         """Return the factor on the duration of a task whose data is in a rack."""
         return 1.0 if not rack or view.entry.is_in(rack) else self.away_factor
--- a/sassafrasloft/standins/lease_runner.py
+++ b/sassafrasloft/standins/lease_runner.py
@@ -95,6 +95,9 @@
         self.slowness = 1.0
         self.fails_all = False
         self.hangs = False
+        self.guards_capacity = True
+        self.starts_over_capacity: list[Milliseconds] = []
+        """Times of the starts for which there was no capacity."""
         self.token = 0
         self.running: dict[str, StandinRun] = {}
         self._finished: list[EndedRun] = []
@@ -173,7 +176,9 @@
         if known is not None:
             return CommandOutcome.SUPERSEDED
         if not task.demand.fits(self.free()):
-            return CommandOutcome.NO_ROOM
+            if self.guards_capacity:
+                return CommandOutcome.NO_ROOM
+            self.starts_over_capacity.append(now)
         self._highest[order.task] = order.number
         duration = float("inf") if self.hangs else self._duration(task)
         end = RunEnd.FAILED if self.fails_all else task.end
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -36,6 +36,7 @@
     Resources,
     Route,
     ServiceConfiguration,
+    ServicePolicy,
     StepRequest,
 )
 
@@ -119,9 +120,14 @@
             for number in range(count):
                 self.start_instance(f"{zone}-{number}", zone)
 
-    def configure(self, version: int, routes: tuple[Route, ...]) -> None:
+    def configure(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: tuple[ServicePolicy, ...] = (),
+    ) -> None:
         """Write a configuration to the store as an operator does."""
-        self.configuration = ServiceConfiguration(version, routes)
+        self.configuration = ServiceConfiguration(version, routes, services)
         value = self.documents.write(self.configuration)
         self.store.put(self.documents.configuration_key, value)
         self._notify_watches()
