--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -30,6 +30,13 @@
 
 WATCH_TIMER = "metadata.watch"
 RUNNERS_TIMER = "metadata.runners"
+BASE64_FACTOR = 4 / 3
+SLOW_LINK_BYTES_PER_MS = 1_562
+"""12.5 Mbit/s: the slowest link of an instance."""
+STORE_LINK_BYTES_PER_MS = 125_000
+"""1,000 Mbit/s, which all instances share."""
+LONG_TRANSFER_MS = 1_000
+"""Half of the time within which a configuration has to be applied."""
 PROBE_WAIT_MS = 1
 """Duration of a watch that only asks for the changes that have happened."""
 STANDBY_ENTRIES_PER_MS = 30
@@ -170,9 +177,29 @@
                     routes=len(configuration.routes),
                     bytes=len(document),
                 )
+                self._warn_if_large(len(document), board)
                 board.emit(SetHttpLimits(configuration.limits))
                 board.post(ConfigurationAdopted(configuration))
 
+    @staticmethod
+    def _warn_if_large(size: int, board: InstanceBoard) -> None:
+        """Warn if the transfer to all instances takes half of the time there is."""
+        instances = max(1, len(board.leadership.members))
+        transfer_ms = round(
+            size
+            * BASE64_FACTOR
+            * (1 / SLOW_LINK_BYTES_PER_MS + instances / STORE_LINK_BYTES_PER_MS)
+        )
+        if transfer_ms > LONG_TRANSFER_MS:
+            board.count("configurations_large")
+            board.log(
+                "configuration_large",
+                "WARNING",
+                bytes=size,
+                instances=instances,
+                transfer_ms=transfer_ms,
+            )
+
     def _record_store_reachability(
         self, reachable: bool, reason: str, board: InstanceBoard
     ) -> None:
--- a/sassafrasloft/testing/fleet/store_links.py
+++ b/sassafrasloft/testing/fleet/store_links.py
@@ -18,6 +18,12 @@
 OVERHEAD_BYTES = 200
 """Bytes of a response, or of an item in it, besides the value."""
 BASE64_FACTOR = 4 / 3
+BYTES_PER_MS_OF_MBIT = 125
+STORE_MBIT = 1_000
+SLOW_LINK_MBIT = 12.5
+FAST_LINK_MBIT = 100
+FAST_INSTANCES = 2
+"""Instances of each zone that have a fast link."""
 
 
 @attrs.define(eq=False)
@@ -95,6 +101,17 @@
         return max(free_at, self._queue.now) + duration_ms
 
 
+def mixed_links(queue: EventQueue) -> StoreLinks:
+    """Return links of 12.5 Mbit/s for all instances but the first two of each zone."""
+
+    def rate_of(instance: str) -> float:
+        number = int(instance.rpartition("-")[2])
+        mbit = FAST_LINK_MBIT if number < FAST_INSTANCES else SLOW_LINK_MBIT
+        return mbit * BYTES_PER_MS_OF_MBIT
+
+    return StoreLinks(queue, STORE_MBIT * BYTES_PER_MS_OF_MBIT, rate_of)
+
+
 def response_bytes(reply: StoreReply) -> float:
     """Return the size of a response of the store."""
     items = ()
--- a/sassafrasloft/testing/fleet/tests/test_large_configurations.py
+++ b/sassafrasloft/testing/fleet/tests/test_large_configurations.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sassafrasloft.testing.fleet.store_links import StoreLinks
+from sassafrasloft.testing.fleet.store_links import mixed_links
 from sassafrasloft.testing.fleet.tests.situations import (
     ROUTES,
     added_routes,
@@ -12,26 +12,12 @@
 
 CONFIG_APPLY_MS = 3_000
 """Time within which each connected instance applies a new configuration."""
-BYTES_PER_MS_OF_MBIT = 125
-STORE_MBIT = 1_000
-SLOW_LINK_MBIT = 12.5
-FAST_LINK_MBIT = 100
-FAST_INSTANCES = 2
-"""Instances of each zone that have a fast link."""
 GROWN_ZONES = {"north": 11, "south": 10, "west": 10}
 
 
-def link_rate(name):
-    number = int(name.rpartition("-")[2])
-    mbit = FAST_LINK_MBIT if number < FAST_INSTANCES else SLOW_LINK_MBIT
-    return mbit * BYTES_PER_MS_OF_MBIT
-
-
 def world_with_links(zones):
     world = FleetWorld(zones, runners=4)
-    world.store_links = StoreLinks(
-        world.queue, STORE_MBIT * BYTES_PER_MS_OF_MBIT, link_rate
-    )
+    world.store_links = mixed_links(world.queue)
     world.configure(1, ROUTES)
     world.run(3_000)
     return world
@@ -79,3 +65,16 @@
     world.store_down = False
     world.run(CONFIG_APPLY_MS)
     assert versions_in_force(world) == [3] * len(world.instances)
+
+
+@pytest.mark.parametrize(("added", "warns"), [(900, False), (4_900, True)])
+def test_operators_are_warned_before_a_configuration_is_late(added, warns):
+    """Guards against configurations that grow until they are not applied in time."""
+    world = world_with_links(GROWN_ZONES)
+    world.configure(2, ROUTES + added_routes(added))
+    world.run(CONFIG_APPLY_MS)
+    warned = [
+        any(line.event == "configuration_large" for _, line in one.log)
+        for one in world.instances.values()
+    ]
+    assert warned == [warns] * len(warned)
