--- a/sassafrasloft/testing/fleet/tests/test_configuration_exchange.py
+++ b/sassafrasloft/testing/fleet/tests/test_configuration_exchange.py
@@ -1,7 +1,17 @@
 """Configurations that instances get from each other instead of from the store."""
 
+import zlib
+from itertools import pairwise
+
+import pytest
+
 from sassafrasloft.instance.commands import SendMessage
-from sassafrasloft.instance.messages import encode_message
+from sassafrasloft.instance.events import (
+    ConfigurationReceived,
+    ConfigurationRequested,
+)
+from sassafrasloft.instance.messages import CompressedConfiguration, encode_message
+from sassafrasloft.metadata.exchange import MAX_DOCUMENT_BYTES, OFFERED_BYTES_PER_MS
 from sassafrasloft.testing.fleet.command_execution import HOST, SERVICE, STORE
 from sassafrasloft.testing.fleet.tests.situations import (
     ROUTES,
@@ -76,3 +86,49 @@
     world.run(CONFIG_APPLY_MS)
     assert is_completed(early)
     assert versions_in_force(world) == [2] * len(world.instances)
+
+
+@pytest.mark.parametrize(
+    "compressed",
+    [
+        b"",
+        b"not compressed",
+        zlib.compress(b"{}")[:-1],
+        zlib.compress(b" " * (MAX_DOCUMENT_BYTES + 1)),
+    ],
+)
+def test_malformed_configuration_of_another_instance_is_ignored(compressed):
+    """Guards against a document that ends the process or takes all of its memory."""
+    world = settled_world()
+    instance = world.instances[follower_names(world)[0]]
+    world.tell(instance, ConfigurationReceived(compressed))
+    assert instance.log[-1][1].event == "configuration_unreadable"
+    assert versions_in_force(world) == [1] * len(world.instances)
+
+
+def test_each_requested_configuration_waits_for_those_before_it():
+    """Guards against requests of a whole fleet that fill the link of one instance."""
+    world = settled_world()
+    world.configure(2, ROUTES + added_routes(3_750))
+    world.run(500)
+    instance = world.instances[scheduler_of(world)]
+    sent = []
+
+    def record(command, now):
+        if isinstance(command, SendMessage) and isinstance(
+            command.message, CompressedConfiguration
+        ):
+            sent.append((now, len(command.message.document)))
+
+    observe_commands(world, record)
+    followers = [
+        one.stream_id
+        for one in instance.core.board.leadership.streams.values()
+        if one.follower
+    ]
+    for stream_id in followers:
+        world.tell(instance, ConfigurationRequested(stream_id, 1))
+    world.run(2_000)
+    assert len(sent) == len(followers)
+    for (before, size), (after, _) in pairwise(sent):
+        assert after - before >= size // OFFERED_BYTES_PER_MS
