--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -107,7 +107,8 @@
         else:
             # After a failure the store is to answer at once, so that its recovery is
             # detected sooner.
-            wait_ms = PROBE_WAIT_MS if self._failure_reason else tuning.watch_ms
+            is_reachable = board.configuration.store_reachable
+            wait_ms = tuning.watch_ms if is_reachable else PROBE_WAIT_MS
             operation = WatchItems(prefix, self._known_revision, wait_ms)
             timeout = wait_ms + tuning.store_timeout_ms
         self._watch_call = board.fresh_id()
--- a/sassafrasloft/metadata/exchange.py
+++ b/sassafrasloft/metadata/exchange.py
@@ -32,7 +32,7 @@
 OFFER_TIMER = "metadata.offer"
 STORE_GRACE_MS = 1_000
 """How long an instance waits for the store before it requests a newer configuration: a
-document of 1 MB takes 0.7 s over a link of 12.5 Mbit/s, and a configuration has to be
+document of 1 MB takes 0.9 s over a link of 12.5 Mbit/s, and a configuration has to be
 applied within 2,000."""
 REQUEST_RETRY_MS = 1_000
 OFFERED_BYTES_PER_MS = 400
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -91,6 +91,8 @@
     """Declared work of the waiting tasks, in millicore-milliseconds."""
     has_deferred_tasks: bool = False
     """Whether one of its tasks was deferred since an unknown run may exist."""
+    has_start_rules: bool = False
+    """Whether the starts of its tasks are restricted after losses of runners."""
     start_sent: bool = False
     """Whether the start of one of its tasks was sent to a runner."""
     may_have_started: bool = False
@@ -191,6 +193,13 @@
         task.not_before = until
         self.has_deferred_tasks = True
 
+    def lift_start_rules(self) -> None:
+        """Let all tasks start anywhere: none of their runners has crashed."""
+        if self.has_start_rules:
+            self.has_start_rules = False
+            for task in self.tasks.values():
+                task.start_rule = StartRule.ANYWHERE
+
     def finish_task(self, task: ScheduledTask) -> bool:
         """Mark a task as done; return whether the job is complete."""
         if task.state is TaskState.WAITING:
--- a/sassafrasloft/scheduling/task_placer.py
+++ b/sassafrasloft/scheduling/task_placer.py
@@ -166,7 +166,9 @@
     def _gives_up(self, job: ScheduledJob, board: InstanceBoard) -> bool:
         """Fail a job if too many runners have crashed under one of its tasks."""
         if not board.crashes.concerns(job.job_id):
+            job.lift_start_rules()
             return False
+        job.has_start_rules = True
         for task in job.waiting:
             task.start_rule = board.crashes.rule_for(task.name)
             if task.start_rule is StartRule.NOWHERE:
--- a/sassafrasloft/testing/fleet/tests/test_tasks_that_crash_runners.py
+++ b/sassafrasloft/testing/fleet/tests/test_tasks_that_crash_runners.py
@@ -150,3 +150,19 @@
         world.cut = lambda one, other: False
     world.run(4_000)
     assert is_completed(job)
+
+
+def test_task_starts_again_once_nothing_is_held_against_it():
+    """Guards against a rule that stays after its runners have replied at one time."""
+    world, _ = patient_world()
+    crashes = world.instances[scheduler_of(world)].core.board.crashes
+    runners = list(world.runners)[:3]
+    job_id = f"{1:016x}"
+    for runner_id in runners:
+        crashes.record_loss(runner_id, 1, f"{job_id}.0.0.0", world.now)
+    job = submit(world, 1, follower_names(world)[0])
+    world.run(3)
+    for runner_id in runners:
+        crashes.record_reply(runner_id)
+    world.run(1_000)
+    assert is_completed(job)
