--- a/sassafrasloft/instance/tests/test_tuning_file.py
+++ b/sassafrasloft/instance/tests/test_tuning_file.py
@@ -43,6 +43,7 @@
         ({"beat_ms": 100}, "silence_ms"),
         ({"renewal_ms": 500}, "lease_ms"),
         ({"right_renewal_ms": 1_100}, "right_lease_ms"),
+        ({"store_transfer_ms": 300}, "store_transfer_ms"),
         ({"pause_ms": 250}, "pause_ms"),
         ({"longest_quarantine_ms": 500}, "longest_quarantine_ms"),
         ({"longest_stop_ms": 2_800}, "longest_stop_ms"),
@@ -53,7 +54,7 @@
 
 
 def test_each_registered_check_is_tested():
-    assert len(registered_checks()) == 6
+    assert len(registered_checks()) == 7
 
 
 @pytest.mark.parametrize("text", ["[1]", "a: [", "beat_ms", "x" * (MAX_BYTES + 1)])
--- a/sassafrasloft/instance/tuning_file.py
+++ b/sassafrasloft/instance/tuning_file.py
@@ -67,6 +67,11 @@
     return tuning.right_lease_ms >= 2 * tuning.right_renewal_ms
 
 
+@tuning_check("store_transfer_ms", "At least store_timeout_ms.")
+def _transfer_outlasts_a_pause(tuning: Tuning) -> bool:
+    return tuning.store_transfer_ms >= tuning.store_timeout_ms
+
+
 @tuning_check("pause_ms", "Above silence_ms: a pause is longer than a silence.")
 def _pause_is_longer_than_silence(tuning: Tuning) -> bool:
     return tuning.pause_ms > tuning.silence_ms
