--- a/sassafrasloft/leadership/election_controller.py
+++ b/sassafrasloft/leadership/election_controller.py
@@ -220,7 +220,8 @@
         if leadership.role is Role.SCHEDULING:
             board.log("right_lapsed", "WARNING")
             self._reclaim_leadership(board)
-        elif leadership.role is Role.SEEKING and self._election is None:
+        elif leadership.role is Role.SEEKING:
+            # An election that only polls the seeds has no timer for its next step.
             self._begin_election("no instance holds leadership", board)
 
     def _leave_for_new_holder(self, board: InstanceBoard) -> None:
--- a/sassafrasloft/testing/fleet/tests/test_takeover.py
+++ b/sassafrasloft/testing/fleet/tests/test_takeover.py
@@ -151,3 +151,25 @@
     world.run(1_500)
     assert scheduler_of(world) == successor
     assert all(is_completed(job) for job in jobs)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_instances_that_restart_without_the_store_elect_a_scheduler_after_it(seed):
+    """Guards against a service that stays down after an outage of everything.
+
+    The leadership lease ends in the outage. The instances had polled their seeds
+    meanwhile, and nobody claimed leadership.
+    """
+    world = settled_world(seed=seed)
+    zones = {name: one.zone for name, one in world.instances.items()}
+    world.store_down = True
+    for name in zones:
+        world.kill(name)
+    for name, zone in zones.items():
+        world.start_instance(name, zone)
+        world.run(20)
+    world.run(2_500)
+    world.store_down = False
+    world.run(1_500)
+    assert scheduler_of(world) in zones
+    assert all(one.ready for one in world.instances.values())
