--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -205,6 +205,7 @@
         if self._scheduler_stream == NO_SCHEDULER:
             self._start_expiry_timer(board)
             return
+        version, newer_route = self._newer_route(job, board)
         message = SubmitJob(
             job.job,
             job.route.name,
@@ -215,7 +216,8 @@
             job.predecessor_revision,
             job.span.trace_id if job.span else "",
             job.span.span_id if job.span else "",
-            *self._newer_route(job, board),
+            configuration_version=version,
+            newer_route=newer_route,
         )
         job.sent = True
         job.sent_to_scheduler = True
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -174,9 +174,9 @@
         """Add a run and subtract its demand from the free capacity."""
         self.runs[run.task] = run
         self.free = self.free.minus(run.demand)
-        self._count_suspects(run, 1)
+        self._count_restricted(run, 1)
 
-    def _count_suspects(self, run: Run, change: int) -> None:
+    def _count_restricted(self, run: Run, change: int) -> None:
         self.suspect_runs += change * (run.start_rule is not StartRule.ANYWHERE)
         self.isolated_runs += change * (run.start_rule is StartRule.ALONE)
 
@@ -184,7 +184,7 @@
         """Remove an ended run and return its demand to the free capacity."""
         if self.runs.pop(run.task, None) is not None:
             self.free = self.free.plus(run.demand)
-            self._count_suspects(run, -1)
+            self._count_restricted(run, -1)
 
 
 @attrs.define(eq=False)
@@ -232,10 +232,10 @@
             and view.excluded_until <= now
             and view.unanswered == 0
             and not (view.quarantines and view.runs)
-            and not (self._counts_orphans(view) and self.has_orphans(view))
+            and not (self._excludes_orphans(view) and self.has_orphans(view))
         )
 
-    def _counts_orphans(self, view: RunnerView) -> bool:
+    def _excludes_orphans(self, view: RunnerView) -> bool:
         """Return whether a runner takes no work beside runs of unknown demand.
 
         A runner that does not reject what exceeds its capacity would start too much.
--- a/sassafrasloft/testing/fleet/fault_scenarios.py
+++ b/sassafrasloft/testing/fleet/fault_scenarios.py
@@ -11,8 +11,8 @@
 
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.leadership import Role
-from sassafrasloft.testing.fleet.command_execution import STORE
 from sassafrasloft.testing.fleet.scenario_callers import ROUTES, ScenarioCallers
+from sassafrasloft.testing.fleet.store_execution import STORE
 from sassafrasloft.testing.fleet.world import FleetWorld
 
 ZONES = {"north": 3, "south": 2, "west": 2}
--- a/sassafrasloft/testing/fleet/scenario_faults.py
+++ b/sassafrasloft/testing/fleet/scenario_faults.py
@@ -1,7 +1,7 @@
 """The faults of fault scenarios; each one ends without further action."""
 
-from sassafrasloft.testing.fleet.command_execution import STORE
 from sassafrasloft.testing.fleet.fault_scenarios import FaultScenario, register_fault
+from sassafrasloft.testing.fleet.store_execution import STORE
 
 LOSS_SHARES = (0.1, 0.3, 0.6)
 """Shares of runner commands, polls, store replies or writes that are affected."""
--- a/sassafrasloft/testing/fleet/tests/test_configuration_exchange.py
+++ b/sassafrasloft/testing/fleet/tests/test_configuration_exchange.py
@@ -12,7 +12,8 @@
 )
 from sassafrasloft.instance.messages import CompressedConfiguration, encode_message
 from sassafrasloft.metadata.exchange import MAX_DOCUMENT_BYTES, OFFERED_BYTES_PER_MS
-from sassafrasloft.testing.fleet.command_execution import HOST, SERVICE, STORE
+from sassafrasloft.testing.fleet.command_execution import HOST, SERVICE
+from sassafrasloft.testing.fleet.store_execution import STORE
 from sassafrasloft.testing.fleet.tests.situations import (
     ROUTES,
     added_routes,
--- a/sassafrasloft/testing/fleet/tests/test_fleet_machine.py
+++ b/sassafrasloft/testing/fleet/tests/test_fleet_machine.py
@@ -14,7 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from sassafrasloft.leadership import Role
-from sassafrasloft.testing.fleet.command_execution import STORE
+from sassafrasloft.testing.fleet.store_execution import STORE
 from sassafrasloft.testing.fleet.tests.situations import (
     CONFIRM,
     LOOKUP,
--- a/sassafrasloft/testing/fleet/tests/test_instance_faults.py
+++ b/sassafrasloft/testing/fleet/tests/test_instance_faults.py
@@ -7,7 +7,7 @@
     HEARTBEAT_TIMER,
     PROMOTION_RETRY_MS,
 )
-from sassafrasloft.testing.fleet.command_execution import STORE
+from sassafrasloft.testing.fleet.store_execution import STORE
 from sassafrasloft.testing.fleet.tests.situations import (
     ORDER,
     follower_names,
--- a/sassafrasloft/testing/fleet/tests/test_losses_during_changes.py
+++ b/sassafrasloft/testing/fleet/tests/test_losses_during_changes.py
@@ -1,7 +1,7 @@
 """Instances that fail or are partitioned while configuration and runners change."""
 
 from sassafrasloft.gateway import AnswerKind
-from sassafrasloft.testing.fleet.command_execution import STORE
+from sassafrasloft.testing.fleet.store_execution import STORE
 from sassafrasloft.testing.fleet.tests.situations import (
     ROUTES,
     drain,
--- a/sassafrasloft/testing/fleet/tests/test_tasks_that_crash_runners.py
+++ b/sassafrasloft/testing/fleet/tests/test_tasks_that_crash_runners.py
@@ -152,8 +152,11 @@
     assert is_completed(job)
 
 
-def test_task_starts_again_once_nothing_is_held_against_it():
-    """Guards against a rule that stays after its runners have replied at one time."""
+def test_task_starts_again_once_all_its_lost_runners_have_replied():
+    """Guards against a start rule that stays when its cause is gone.
+
+    All runners reply between two scheduling passes.
+    """
     world, _ = patient_world()
     crashes = world.instances[scheduler_of(world)].core.board.crashes
     runners = list(world.runners)[:3]
