End the processes of a review script that is itself ended; simplify its store

Cause: a script ended from outside left its processes; the store's condition variable could fail when a watch was cancelled. Change: SIGTERM ends the play in order; watches wait for an event.

--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -30,7 +30,7 @@
         self.history: list[tuple[int, str, Item | None]] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self.last_lease = 100
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.turned_away: set[tuple[str, int]] = set()
         self._servers: list[Server] = []
 
@@ -54,17 +54,17 @@
     async def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write a key, as the operator or a runner does."""
         revision = self._put(key, value, lease)
-        await self._notify()
+        self._notify()
         return revision
 
     async def remove(self, key: str) -> None:
         """Remove a key."""
         self._remove(key)
-        await self._notify()
+        self._notify()
 
-    async def _notify(self) -> None:
-        async with self.changed:
-            self.changed.notify_all()
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def _put(self, key: str, value: bytes, lease: int) -> int:
         self.revision += 1
@@ -105,7 +105,7 @@
                 return await self._watch(request, at)
             case "kv-txn":
                 answer = self._transact(request.json())
-                await self._notify()
+                self._notify()
                 return answer
             case "kv-lease":
                 ttl = request.json()["ttlMs"]
@@ -116,7 +116,7 @@
                 return self._keep(int(argument))
             case "kv-lease-end":
                 self._end_lease(int(argument))
-                await self._notify()
+                self._notify()
                 return 200, {}
         return 400, {}
 
@@ -163,9 +163,8 @@
             left = ends_at - now()
             if rows or left <= 0:
                 return 200, {"events": rows, "asOf": self.revision}
-            async with self.changed:
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self.changed.wait(), min(left, 0.05))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.05))
 
     def _transact(self, document: dict) -> tuple[int, dict]:
         expected = document.get("expectedRev", [])
--- a/review/rig/world.py
+++ b/review/rig/world.py
@@ -5,6 +5,7 @@
 import os
 import random
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -20,8 +21,8 @@
 ZONES = ["zone-a", "zone-b", "zone-c"]
 LEADER_KEY = "own/scheduler"
 CANCEL_S = 3.0
-STOP_S = 0.05
 PORTS = 20
+LONGEST_S = 110
 START_S = 20.0
 
 
@@ -280,14 +281,16 @@
     """Play a case; return 0 if the rule held, 1 if not, 2 if it could not run."""
 
     async def run() -> None:
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
-            await asyncio.wait_for(case(world), 110)
+            await asyncio.wait_for(case(world), LONGEST_S)
         finally:
             world.end()
 
     try:
         asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, OSError, TimeoutError, asyncio.CancelledError) as error:
         world.log(f"could not run: {type(error).__name__} {error}")
         print(f"could not run: {error}", file=sys.stderr)
         return 2
