--- a/review/rig/world.py
+++ b/review/rig/world.py
@@ -226,7 +226,7 @@
         if not instance.log_path.exists():
             return
         for line in instance.log_path.read_text().splitlines():
-            if '"level": "INFO"' not in line:
+            if line.startswith("{") and '"level": "INFO"' not in line:
                 self._record.write(f"log of {instance.name}: {line[:300]}\n")
 
 
