Log each job that the scheduler rejects for want of its route

Cause: in review/3 callers of running jobs get 404, and no log line tells which process decided so. `request_without_route` covers only the lookup by host and path at the caller's instance. A rejection by the scheduler left no line.

Hypotheses for the 404: (1) the caller's instance looks its open jobs up again when it adopts the configuration, (2) the scheduler that stops ends them with its route gone, (3) the next scheduler rejects them when they are submitted again, (4) the jobs never reached a scheduler.

Change: the scheduler writes `job_without_route`, with its version, the version by which the job was accepted and whether it was resubmitted, and counts `jobs_without_route`.

--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -147,11 +147,27 @@
             return
         route = _route_of(message, board)
         if route is None:
-            answer = JobAnswer(job_id, JobOutcome.NO_SUCH_ROUTE.value, message.route)
-            self._send(stream_id, answer, board)
+            self._reject_without_route(stream_id, message, board)
             return
         self._admit(stream_id, message, route, board)
 
+    def _reject_without_route(
+        self, stream_id: int, message: SubmitJob, board: InstanceBoard
+    ) -> None:
+        job_id = message.job.job_id
+        board.count("jobs_without_route")
+        board.log_request(
+            "job_without_route",
+            failed=True,
+            job=job_id,
+            route=message.route,
+            version=board.configuration.current.version,
+            accepted_version=message.configuration_version,
+            resubmitted=message.resubmitted,
+        )
+        answer = JobAnswer(job_id, JobOutcome.NO_SUCH_ROUTE.value, message.route)
+        self._send(stream_id, answer, board)
+
     def _admit(
         self, stream_id: int, message: SubmitJob, route: object, board: InstanceBoard
     ) -> None:
