Complete jobs of a removed route when another scheduler takes over

Cause: a job is accepted by a route, and from then on the scheduler that admitted it keeps that route. A successor looked the route up by name in its own, newer configuration and took its absence for "no such route", a "not run", though the message said that the job may have started. Followers even sent the route, since they did not know the successor's version yet; it counted only if its version was above the scheduler's. The class of fault: what was accepted under one configuration is judged by a later one.

Change: an instance sends the accepted route with each job that it submits again, and a scheduler whose configuration has no such route handles such a job by it, as its predecessor would have. A route that is there still is used as it is now. If an instance of an earlier release sends no route, the answer is that the job may have run. New jobs of a removed route are rejected as before. The field `newer_route` is now `accepted_route`; its position on the wire and its meaning to earlier releases are unchanged.

Why it works: the instance that accepted the job holds its route until it has answered, so that any number of takeovers hand it on, and the successor adopts the runs instead of stopping them.

The fleet's audit took 404 for no statement on runs; it now checks it as "not run".

--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -205,7 +205,7 @@
         if self._scheduler_stream == NO_SCHEDULER:
             self._start_expiry_timer(board)
             return
-        version, newer_route = self._newer_route(job, board)
+        version, accepted_route = self._accepted_route(job, board)
         message = SubmitJob(
             job.job,
             job.route.name,
@@ -217,17 +217,22 @@
             job.span.trace_id if job.span else "",
             job.span.span_id if job.span else "",
             configuration_version=version,
-            newer_route=newer_route,
+            accepted_route=accepted_route,
         )
         job.sent = True
         job.sent_to_scheduler = True
         self._send(message, board)
 
     @staticmethod
-    def _newer_route(job: OpenJob, board: InstanceBoard) -> tuple[int, Route | None]:
-        """Return the route of a job, with its version, if the scheduler may lack it."""
+    def _accepted_route(job: OpenJob, board: InstanceBoard) -> tuple[int, Route | None]:
+        """Return the route of a job, with its version, if the scheduler may lack it.
+
+        A newer configuration of a new scheduler may lack a route by which an earlier
+        scheduler has started the job.
+        """
         version = job.configuration_version
-        if version <= board.leadership.scheduler_configuration_version:
+        scheduler_version = board.leadership.scheduler_configuration_version
+        if version <= scheduler_version and not job.sent:
             return 0, None
         return version, job.route
 
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -242,9 +242,9 @@
     `predecessor_runs_ms` is how long runs of the predecessor scheduler may go on,
     on runners that no other instance knows. `predecessor_revision` is its
     leadership revision, 0 if it was acting. `trace_id` and `span_id` identify the
-    sender's span if the job is traced. `newer_route` is the route itself if the sender
-    has a newer configuration than the scheduler has reported, of the version
-    `configuration_version`.
+    sender's span if the job is traced. `accepted_route` is the route by which the
+    sender accepted the job, of the version `configuration_version`; it is sent if the
+    scheduler may lack it, as its configuration is older or the route was removed.
     """
 
     job: JobRequest
@@ -257,7 +257,7 @@
     trace_id: str = ""
     span_id: str = ""
     configuration_version: int = 0
-    newer_route: Route | None = None
+    accepted_route: Route | None = None
 
 
 @register_message("cancel")
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -154,6 +154,7 @@
     def _reject_without_route(
         self, stream_id: int, message: SubmitJob, board: InstanceBoard
     ) -> None:
+        """Reject a job; callers take "no such route" as "not run"."""
         job_id = message.job.job_id
         board.count("jobs_without_route")
         board.log_request(
@@ -165,8 +166,11 @@
             accepted_version=message.configuration_version,
             resubmitted=message.resubmitted,
         )
-        answer = JobAnswer(job_id, JobOutcome.NO_SUCH_ROUTE.value, message.route)
-        self._send(stream_id, answer, board)
+        if message.resubmitted:
+            outcome, reason = JobOutcome.MAY_HAVE_RUN, "its route was removed"
+        else:
+            outcome, reason = JobOutcome.NO_SUCH_ROUTE, message.route
+        self._send(stream_id, JobAnswer(job_id, outcome.value, reason), board)
 
     def _admit(
         self, stream_id: int, message: SubmitJob, route: object, board: InstanceBoard
@@ -417,9 +421,13 @@
 def _route_of(message: SubmitJob, board: InstanceBoard) -> Route | None:
     """Return the route of a job by the newer of the configurations that know it.
 
-    The instance that submits the job may have got a newer one than the scheduler.
+    The instance that submits the job may have got a newer one than the scheduler. If
+    another scheduler may have started the job, it keeps its route after the removal.
     """
     configuration = board.configuration
     if message.configuration_version > configuration.current.version:
-        return message.newer_route
-    return configuration.route_named(message.route)
+        return message.accepted_route
+    route = configuration.route_named(message.route)
+    if route is None and message.resubmitted:
+        return message.accepted_route
+    return route
--- a/sassafrasloft/testing/fleet/auditing.py
+++ b/sassafrasloft/testing/fleet/auditing.py
@@ -12,6 +12,14 @@
     """A guarantee is violated; the message names it and what was observed."""
 
 
+_NOT_RUN_KINDS = (
+    AnswerKind.REFUSED,
+    AnswerKind.UNAVAILABLE,
+    AnswerKind.NO_SUCH_ROUTE,
+)
+"""Answers that callers take as "not run"."""
+
+
 @attrs.define(eq=False)
 class FleetAudit:
     """Checks what callers and stand-ins observe, not the state of the instances."""
@@ -85,7 +93,7 @@
 
         A job that is refused, with no open or undecided submission, may have no runs.
         """
-        not_run = answer.kind in (AnswerKind.REFUSED, AnswerKind.UNAVAILABLE)
+        not_run = answer.kind in _NOT_RUN_KINDS
         if not_run and not still_open and job_id not in self.undecided:
             self.accepted.discard(job_id)
             self.refused[job_id] = now
