Cancel and look up jobs whose route was removed

What callers saw: a caller that cancels its running job, or asks for its state, after the operator has removed the route gets 404. The job is not cancelled: its tasks run to their end.

The caller's instance matched the request with the present routes before it asked the scheduler, which knows the job by its id and needs no route.

Change: the scheduler is asked first. Only if it does not know the job, the route is looked up, so that an unknown job of a removed route still gets 404 and leaves `request_without_route`. Without a scheduler the answer is 503, "no scheduler", also where there is no route. Counts of waiting jobs and submissions are matched with the present routes as before.

Why it works: a scheduler keeps an open job by its id until it has ended, and for 5 s its outcome, whatever the configuration.

Test: test_removed_routes.py, `is_cancelled` and `state_of_a_running_job` failed before with no_such_route; the two of unknown jobs guard the limits and passed.

Measured: by the tests only.

--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -11,7 +11,7 @@
     no_scheduler_answer,
 )
 from sassafrasloft.gateway.intake import IntakeFilter
-from sassafrasloft.gateway.requests import OpenJob
+from sassafrasloft.gateway.requests import OpenJob, PendingQuery
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import AnswerCaller, SendMessage
 from sassafrasloft.instance.controllers import CONTROLLERS
@@ -243,12 +243,17 @@
             board.emit(SendMessage(self._scheduler_stream, message))
 
     def _query_job(self, event: JobStateRequested, board: InstanceBoard) -> None:
-        if self._route(event.request_id, event.host, event.path, board) is None:
-            return
+        """Ask the scheduler for a job, or to cancel it.
+
+        A job outlives its route, so that the route is looked up only if the scheduler
+        does not know the job.
+        """
         if self._scheduler_stream == NO_SCHEDULER:
             self._answer_unavailable(event.request_id, board)
             return
-        board.requests.queries[event.request_id] = ("job", event.job_id)
+        board.requests.queries[event.request_id] = PendingQuery(
+            "job", event.job_id, event.host, event.path
+        )
         if event.cancel:
             self._send(CancelJob(event.job_id, wants_answer=True), board)
         else:
@@ -261,7 +266,9 @@
         if self._scheduler_stream == NO_SCHEDULER:
             self._answer_unavailable(event.request_id, board)
             return
-        board.requests.queries[event.request_id] = ("queue", route.name)
+        board.requests.queries[event.request_id] = PendingQuery(
+            "queue", route.name, event.host, event.path
+        )
         self._send(QueryQueue(route.name), board)
 
     def _answer_unavailable(self, request_id: int, board: InstanceBoard) -> None:
@@ -306,20 +313,18 @@
                 answer = CallerAnswer(kind, message.reason, message.retry_after_s)
                 self._complete_job(job, answer, board)
         elif isinstance(message, JobState):
-            self._answer_queries(
-                ("job", message.job_id), job_state_answer(message.state), board
-            )
+            self._answer_job_queries(message, board)
         elif isinstance(message, QueueState):
             answer = CallerAnswer(AnswerKind.PENDING, pending=message.pending)
-            self._answer_queries(("queue", message.route), answer, board)
-
-    def _answer_queries(
-        self, query: tuple[str, str], answer: CallerAnswer, board: InstanceBoard
-    ) -> None:
-        queries = board.requests.queries
-        for request_id in [key for key, value in queries.items() if value == query]:
-            del queries[request_id]
-            self._answer(request_id, answer, board)
+            for request_id, _ in board.requests.take_queries("queue", message.route):
+                self._answer(request_id, answer, board)
+
+    def _answer_job_queries(self, message: JobState, board: InstanceBoard) -> None:
+        queries = board.requests.take_queries("job", message.job_id)
+        for request_id, query in queries:
+            is_known = bool(message.state)
+            if is_known or self._route(request_id, query.host, query.path, board):
+                self._answer(request_id, job_state_answer(message.state), board)
 
     def _complete_job(
         self, job: OpenJob, answer: CallerAnswer, board: InstanceBoard
--- a/sassafrasloft/gateway/requests.py
+++ b/sassafrasloft/gateway/requests.py
@@ -46,6 +46,20 @@
     """Until then an unreachable predecessor may still have runs of the job."""
 
 
+@attrs.frozen
+class PendingQuery:
+    """A caller's question that the scheduler has not answered yet.
+
+    `kind` is ``job`` or ``queue``, and `subject` the id of the job or the name of the
+    route. `host` and `path` are those of the request.
+    """
+
+    kind: str
+    subject: str
+    host: str
+    path: str
+
+
 @attrs.define(eq=False)
 class OpenRequests:
     """All requests that have no answer yet; a section of the blackboard."""
@@ -54,8 +68,8 @@
     """Open jobs by job id."""
     job_id_of_request: dict[int, str] = attrs.field(factory=dict)
     """Job ids by the id of the request that waits for the job."""
-    queries: dict[int, tuple[str, str]] = attrs.field(factory=dict)
-    """Pending queries by request id: ``("job", job_id)`` or ``("queue", route)``."""
+    queries: dict[int, PendingQuery] = attrs.field(factory=dict)
+    """Pending queries by request id."""
     awaiting_resubmission: deque[str] = attrs.field(factory=deque)
     """Ids of the jobs that wait to be resubmitted to a new scheduler."""
     tasks_offered: int = 0
@@ -65,3 +79,14 @@
     def count(self) -> int:
         """The number of requests without an answer."""
         return len(self.job_id_of_request) + len(self.queries)
+
+    def take_queries(self, kind: str, subject: str) -> list[tuple[int, PendingQuery]]:
+        """Remove and return the pending queries of a kind for a subject."""
+        taken = [
+            (request_id, query)
+            for request_id, query in self.queries.items()
+            if (query.kind, query.subject) == (kind, subject)
+        ]
+        for request_id, _ in taken:
+            del self.queries[request_id]
+        return taken
--- a/sassafrasloft/testing/fleet/tests/test_removed_routes.py
+++ b/sassafrasloft/testing/fleet/tests/test_removed_routes.py
@@ -3,9 +3,10 @@
 import pytest
 
 from sassafrasloft.gateway import AnswerKind
-from sassafrasloft.instance.commands import SendMessage
-from sassafrasloft.instance.events import MessageReceived
+from sassafrasloft.instance.commands import AnswerCaller, SendMessage
+from sassafrasloft.instance.events import JobStateRequested, MessageReceived
 from sassafrasloft.instance.messages import JobAnswer, SubmitJob
+from sassafrasloft.runs import RunEnd
 from sassafrasloft.scheduling import JobOutcome
 from sassafrasloft.testing.fleet.store_execution import STORE
 from sassafrasloft.testing.fleet.tests.situations import (
@@ -26,6 +27,8 @@
 """Time in which all instances adopt a new configuration."""
 ORDER_TASKS = 2
 STREAM_ID = 77
+QUERY_REQUEST_ID = 1_000_000
+"""Id of a request for a job's state; greater than the ids of submissions."""
 
 
 def remove_order_route(world):
@@ -155,3 +158,56 @@
         if line[1].event == "job_without_route"
     ]
     assert len(rejections) == 1
+
+
+def answer_to_query(world, job_id, instance, cancel=False):
+    """Request the state of an order at an instance, or its cancelling."""
+    answers = []
+
+    def record(command, now):
+        if isinstance(command, AnswerCaller) and command.request_id == QUERY_REQUEST_ID:
+            answers.append(command.answer)
+
+    observe_commands(world, record)
+    path = ORDER.prefix + job_id
+    query = JobStateRequested(QUERY_REQUEST_ID, ORDER.host, path, job_id, cancel)
+    world.tell(world.instances[instance], query)
+    world.run(50)
+    (answer,) = answers
+    return answer
+
+
+def test_running_job_of_a_removed_route_is_cancelled():
+    """Guards against a cancelled job that runs to its end, as its route is gone."""
+    world = settled_world()
+    first, second = follower_names(world)[:2]
+    job = submit_order(world, 1, first)
+    world.run(200)
+    remove_order_route(world)
+    answer = answer_to_query(world, job.job.job_id, second, cancel=True)
+    assert (answer.kind, answer.detail) == (AnswerKind.STATE, "cancelled")
+    assert job.answer.kind is AnswerKind.CANCELLED
+    world.run(200)
+    assert [end for _, end in world.audit.ends] == [RunEnd.STOPPED] * ORDER_TASKS
+
+
+def test_state_of_a_running_job_of_a_removed_route_is_known():
+    """Guards against "no such route" to callers that ask for their running job."""
+    world = settled_world()
+    first, second = follower_names(world)[:2]
+    job = submit_order(world, 1, first)
+    world.run(200)
+    remove_order_route(world)
+    answer = answer_to_query(world, job.job.job_id, second)
+    assert (answer.kind, answer.detail) == (AnswerKind.STATE, "running")
+
+
+@pytest.mark.parametrize("cancel", [False, True])
+def test_unknown_job_of_a_removed_route_has_no_route(cancel):
+    """Guards against "no such job" where the configuration has no such route."""
+    world = settled_world()
+    remove_order_route(world)
+    instance = follower_names(world)[0]
+    job_id = simple_job(1, 1, 14_000, 60).job_id
+    answer = answer_to_query(world, job_id, instance, cancel)
+    assert answer.kind is AnswerKind.NO_SUCH_ROUTE
