Take runners of services that are not configured for unguarded ones

What goes wrong (LIMIT): the operator removes a service that does not reject overload, together with its routes, and the scheduler is killed while jobs of these routes run. Its successor starts waiting tasks of such jobs on runners beside runs whose demand it does not know: starts beyond the capacity.

The successor keeps the set of services that do not guard their capacity, and the removal takes a service out of it, so that its runners counted as guarded ones.

Change: the set holds the services that do guard their capacity. Runners of all others, also of services that are not known yet, get no work beside runs of unknown demand.

Why it works: "unknown" now leads to the cautious side, and needs no memory of earlier configurations, which a restarted instance would not have.

Services of the test fleet were left out of its configurations; they are listed now (as guarded, which they counted as before).

--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -61,10 +61,8 @@
             if event.name == SWEEP_TIMER and board.pool.active:
                 self._sweep(board)
         elif isinstance(event, ConfigurationAdopted):
-            board.pool.unguarded_services = frozenset(
-                one.name
-                for one in event.configuration.services
-                if not one.rejects_overload
+            board.pool.guarded_services = frozenset(
+                one.name for one in event.configuration.services if one.rejects_overload
             )
         elif isinstance(event, RunnersListed):
             self._apply_runner_list(event.entries, board)
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -217,8 +217,9 @@
     orphans: dict[str, Run] = attrs.field(factory=dict)
     """Runs by task that a runner listed and that belong to no known job."""
     activated_at: Milliseconds = 0
-    unguarded_services: frozenset[str] = frozenset()
-    """Services whose runners start what exceeds their capacity."""
+    guarded_services: frozenset[str] = frozenset()
+    """Services whose runners reject what exceeds their capacity. Those of other
+    services may start it, also of services that were removed or are not known yet."""
     changed: bool = False
     """Whether free capacity or health has changed since tasks were last placed."""
 
@@ -240,7 +241,7 @@
 
         A runner that does not reject what exceeds its capacity would start too much.
         """
-        return self.acting or view.entry.service in self.unguarded_services
+        return self.acting or view.entry.service not in self.guarded_services
 
     def factor_on(self, view: RunnerView, rack: str) -> float:
         """Return the factor on the duration of a task whose data is in a rack."""
--- a/sassafrasloft/testing/fleet/auditing.py
+++ b/sassafrasloft/testing/fleet/auditing.py
@@ -8,10 +8,6 @@
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin, StandinRun
 
 
-class GuaranteeViolated(AssertionError):
-    """A guarantee is violated; the message names it and what was observed."""
-
-
 _NOT_RUN_KINDS = (
     AnswerKind.REFUSED,
     AnswerKind.UNAVAILABLE,
@@ -20,6 +16,10 @@
 """Answers that callers take as "not run"."""
 
 
+class GuaranteeViolated(AssertionError):
+    """A guarantee is violated; the message names it and what was observed."""
+
+
 @attrs.define(eq=False)
 class FleetAudit:
     """Checks what callers and stand-ins observe, not the state of the instances."""
--- a/sassafrasloft/testing/fleet/tests/test_unguarded_capacity.py
+++ b/sassafrasloft/testing/fleet/tests/test_unguarded_capacity.py
@@ -86,3 +86,23 @@
             submit_lookup(world, 10_000 + 1_000 * round_number + number, name)
             world.run(8)
     assert late_starts(world, 0) == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_runs_of_a_removed_service_count_against_capacity(seed):
+    """Guards against a removed service whose runners are taken to reject overload.
+
+    Its jobs go on under the next scheduler, beside runs of callers that are lost.
+    """
+    world = unguarded_world(seed)
+    scheduler = scheduler_of(world)
+    names = list(world.instances)
+    for number in range(120):
+        name = scheduler if number % 2 else names[number % len(names)]
+        submit_order(world, number, name)
+        world.run(8)
+    world.configure(3, (), ())
+    world.run(150)
+    world.kill(scheduler)
+    world.run(2_000)
+    assert late_starts(world, 0) == []
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -124,7 +124,7 @@
         self,
         version: int,
         routes: tuple[Route, ...],
-        services: tuple[ServicePolicy, ...] = (),
+        services: tuple[ServicePolicy, ...] = (ServicePolicy(SERVICE),),
     ) -> None:
         """Write a configuration to the store as an operator does."""
         self.configuration = ServiceConfiguration(version, routes, services)
