Test removals of routes at random moments of a takeover

Cause: the tests of removed routes play a few fixed orders of events. The scheduler may stop before, during or after the adoption of the change, while jobs of the route still arrive.

Change: a seeded test of twelve such orders; the fleet's audit watches the runs.

--- a/sassafrasloft/testing/fleet/auditing.py
+++ b/sassafrasloft/testing/fleet/auditing.py
@@ -7,7 +7,6 @@
 from sassafrasloft.runs import RunEnd
 from sassafrasloft.standins.lease_runner import LeaseRunnerStandin, StandinRun
 
-
 _NOT_RUN_KINDS = (
     AnswerKind.REFUSED,
     AnswerKind.UNAVAILABLE,
--- a/sassafrasloft/testing/fleet/tests/test_removed_routes.py
+++ b/sassafrasloft/testing/fleet/tests/test_removed_routes.py
@@ -1,5 +1,7 @@
 """Jobs whose route the operator removes before they have ended."""
 
+from random import Random
+
 import pytest
 
 from sassafrasloft.gateway import AnswerKind
@@ -90,6 +92,28 @@
     assert starts_of(world, jobs) == [ORDER_TASKS] * len(jobs)
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_jobs_accepted_before_a_removal_complete_at_any_moment_of_a_takeover(seed):
+    """Guards against orders of removal and takeover in which a job loses its route.
+
+    The scheduler is stopped from 0.4 s before the removal to 0.4 s after it, and jobs
+    arrive until the removal.
+    """
+    world = settled_world(seed=seed)
+    random = Random(seed)
+    names = follower_names(world)
+    scheduler = scheduler_of(world)
+    world.queue.after(random.randrange(100, 900), lambda: world.stop(scheduler))
+    jobs = []
+    for number in range(20):
+        jobs.append(submit_order(world, number, random.choice(names)))
+        world.run(25)
+    remove_order_route(world)
+    world.run(2_000)
+    assert all(is_completed(job) for job in jobs)
+    assert starts_of(world, jobs) == [ORDER_TASKS] * len(jobs)
+
+
 def test_waiting_jobs_of_a_removed_route_start_after_a_takeover():
     """Guards against "no such route" for jobs that another scheduler may have started.
 
