Wait for runners that reject polls before tasks of a predecessor start

Cause: jobs of a predecessor may start once no runner can have unknown runs. Any reply to a poll ended that state for its runner, also a rejection, which lists no runs.

Change: only a poll reply that lists the runs of the present process ends the state; for a runner that was known before also any reply for which it examined the fencing token. New log line runner_contact_rejected. The test fleet's runners reject a share of all commands.

Why it works: a start now needs the runner's own list, or the end of the leases.

--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -166,14 +166,10 @@
             self._record_crash(view, set(), board)
         else:
             board.crashes.record_reply(view.runner_id)
-        first = not view.contacted
-        view.contacted = True
+        polling.record_contact(view, board)
         view.process_started_at_ms = max(
             view.process_started_at_ms, reply.started_at_ms
         )
-        if first:
-            view.contacted_at = board.now
-            board.log("runner_contacted", runner=view.runner_id)
         self._apply_ended_runs(view, reply, board)
         self._reconcile_running(view, reply, call_id, board)
         self._stop_orphans(board)
--- a/sassafrasloft/runs/orders.py
+++ b/sassafrasloft/runs/orders.py
@@ -28,6 +28,18 @@
     """No reply: the command may have been executed or may still be executed."""
 
 
+TOKEN_ACCEPTED_OUTCOMES = frozenset(
+    {
+        CommandOutcome.DONE,
+        CommandOutcome.SUPERSEDED,
+        CommandOutcome.TOO_LATE,
+        CommandOutcome.NO_ROOM,
+    }
+)
+"""Outcomes that show that the runner has seen no higher fencing token. A runner that
+rejects a command as unhealthy has not looked at the token."""
+
+
 class RunEnd(StrEnum):
     """How a run ended, as its runner reports it or its scheduler concludes."""
 
--- a/sassafrasloft/runs/polling.py
+++ b/sassafrasloft/runs/polling.py
@@ -6,7 +6,9 @@
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.commands import CallRunner
 from sassafrasloft.instance.events import RunnerReplied
+from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.runs.orders import (
+    TOKEN_ACCEPTED_OUTCOMES,
     CommandOutcome,
     PollReply,
     PollRuns,
@@ -147,9 +149,7 @@
     """Renew leases that an idle long poll does not renew; poll unresponsive runners."""
     tuning = board.tuning
     if not view.contacted or view.unanswered:
-        # A single lost reply is retried at once; an unresponsive runner less often.
-        pause = 0 if view.unanswered == 1 else tuning.renewal_ms
-        if board.now - view.last_poll_at >= pause:
+        if board.now - view.last_poll_at >= _pause_between_polls(view, board):
             poll_now(view, board, calls)
         return
     due = view.lease_until - tuning.lease_ms + tuning.renewal_ms + RENEWAL_SLACK_MS
@@ -160,6 +160,32 @@
     ensure_long_poll(view, board, calls)
 
 
+def _pause_between_polls(view: RunnerView, board: InstanceBoard) -> Milliseconds:
+    """Return the time between polls of a runner that has not listed its runs.
+
+    Load pattern: a scheduler fails while runners reject a share of all commands. Jobs
+    of the predecessor wait until each runner has listed its runs, so that a runner that
+    rejects polls is polled more often than one that is silent.
+    """
+    tuning = board.tuning
+    if view.unanswered == 1:
+        # A single lost reply.
+        return 0
+    rejected = not view.unanswered and view.contact_rejected_at >= view.last_poll_at
+    if rejected and board.now - view.no_contact_since <= predecessor_lease_ms(tuning):
+        return tuning.look_again_ms
+    return tuning.renewal_ms
+
+
+def predecessor_lease_ms(tuning: Tuning) -> Milliseconds:
+    """Return how long after its loss runs of a predecessor scheduler may go on.
+
+    An unreachable predecessor renews leases until it has given up its followers.
+    """
+    follower_loss_ms = tuning.silence_ms + tuning.silent_grace_ms
+    return tuning.lease_ms + tuning.lapse_margin_ms + follower_loss_ms
+
+
 def poll_is_due(view: RunnerView, board: InstanceBoard) -> bool:
     """Return whether a poll would bring news and none was sent recently."""
     if board.now - view.last_poll_at < board.tuning.look_again_ms:
@@ -202,34 +228,63 @@
     Load pattern: an overloaded scheduler handles timeouts before it reads the replies
     that have arrived and before it uses connections that are ready.
     """
-    reply, kind = event.reply, call.kind
+    reply = event.reply
     silent = reply.outcome in (CommandOutcome.UNKNOWN, CommandOutcome.NOT_SENT)
     if silent and call.detected_late(board.now):
         board.count("timeouts_noticed_late")
         return
     if silent:
-        view.unanswered += 1
-        if view.no_contact_since < 0:
-            view.no_contact_since = board.now
-        if view.unanswered == 1:
-            board.log(
-                "runner_silent",
-                "WARNING",
-                runner=view.runner_id,
-                order=kind,
-                outcome=reply.outcome.value,
-            )
+        _record_silence(view, call, reply.outcome, board)
         return
     if view.unanswered:
         board.log("runner_answers", runner=view.runner_id)
     view.unanswered = 0
-    if view.contacted or kind in ("look", "hold"):
-        view.no_contact_since = -1
     view.last_answer_at = board.now
+    if reply.outcome is CommandOutcome.UNHEALTHY and not view.contacted:
+        _record_rejected_contact(view, board)
+    # The list of runs in the reply to a poll is examined apart from this.
+    lists_runs = isinstance(reply, PollReply)
+    if view.contacted and not lists_runs and reply.outcome in TOKEN_ACCEPTED_OUTCOMES:
+        view.no_contact_since = -1
     if reply.runner_clock_ms >= 0:
         update_clock_offset(view, reply.runner_clock_ms, board.now)
 
 
+def _record_silence(
+    view: RunnerView, call: OpenCall, outcome: CommandOutcome, board: InstanceBoard
+) -> None:
+    view.unanswered += 1
+    if view.no_contact_since < 0:
+        view.no_contact_since = board.now
+    if view.unanswered == 1:
+        board.log(
+            "runner_silent",
+            "WARNING",
+            runner=view.runner_id,
+            order=call.kind,
+            outcome=outcome.value,
+        )
+
+
+def _record_rejected_contact(view: RunnerView, board: InstanceBoard) -> None:
+    if view.contact_rejected_at < 0:
+        board.log("runner_contact_rejected", "WARNING", runner=view.runner_id)
+    view.contact_rejected_at = board.now
+
+
+def record_contact(view: RunnerView, board: InstanceBoard) -> None:
+    """Record that a runner has listed all of its runs under the token in force."""
+    if not view.contacted:
+        view.contacted_at = board.now
+        board.log(
+            "runner_contacted",
+            runner=view.runner_id,
+            rejected=view.contact_rejected_at >= 0,
+        )
+    view.contacted = True
+    view.no_contact_since = -1
+
+
 def update_clock_offset(
     view: RunnerView, clock: Milliseconds, now: Milliseconds
 ) -> None:
--- a/sassafrasloft/runs/runner_list.py
+++ b/sassafrasloft/runs/runner_list.py
@@ -77,6 +77,7 @@
         view.fenced = False
         view.contacted = False
         view.no_contact_since = board.now
+        view.contact_rejected_at = -1
         self._contacts.add(view.runner_id)
 
     def _contact_waiting_runners(self, board: InstanceBoard, least: int = 0) -> None:
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -120,10 +120,13 @@
     free: Resources
     runs: dict[str, Run] = attrs.field(factory=dict)
     contacted: bool = False
-    """Whether the runner has replied under the current fencing token."""
+    """Whether the runner has listed its runs under the current fencing token."""
     contacted_at: Milliseconds = 0
     no_contact_since: Milliseconds = -1
-    """When replies ceased or the fencing token changed; -1 while the runner replies."""
+    """When replies ceased or the fencing token changed; -1 while the runner replies.
+    Only replies that prove that no run is unknown end such a time."""
+    contact_rejected_at: Milliseconds = -1
+    """When the runner last rejected a poll, if it has not been contacted yet."""
     clock_offset: Milliseconds | None = None
     """Lower bound of the runner's clock minus the local clock at `clock_read_at`."""
     process_started_at_ms: Milliseconds = -1
--- a/sassafrasloft/scheduling/predecessor_runs.py
+++ b/sassafrasloft/scheduling/predecessor_runs.py
@@ -6,6 +6,7 @@
 """
 
 from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.runs.polling import predecessor_lease_ms
 from sassafrasloft.scheduling.jobs import JobOutcome, ScheduledJob
 
 
@@ -20,9 +21,7 @@
         # Runners whose entries lapsed in the outage may not be listed again yet.
         return True
     pool = board.pool
-    # An unreachable predecessor renews leases until it has given up its followers.
-    follower_loss_ms = tuning.silence_ms + tuning.silent_grace_ms
-    lapse = tuning.lease_ms + tuning.lapse_margin_ms + follower_loss_ms
+    lapse = predecessor_lease_ms(tuning)
     list_is_old = pool.entries_read_at <= pool.activated_at
     if list_is_old and board.now - pool.activated_at <= lapse:
         return True
--- a/sassafrasloft/testing/fleet/runner_faults.py
+++ b/sassafrasloft/testing/fleet/runner_faults.py
@@ -21,22 +21,25 @@
 class RunnerFaults:
     """Faults by runner.
 
-    Polls and stop commands succeed unless their replies are lost.
+    Polls and stop commands succeed unless they are rejected or their replies are lost.
 
     Parameters
     ----------
     starts : dict
         How start commands fail, by runner.
-    only_from : str
+    affected_zone : str
         The availability zone whose start commands fail; all zones if empty.
-    lost_answers : dict
+    lost_reply_shares : dict
         Share of commands that are carried out without a reply, by runner; 1.0 stands
         for a link that is cut in one direction.
+    rejected_shares : dict
+        Share of commands of all kinds that the runner rejects as unhealthy, by runner.
     """
 
     starts: dict[str, StartFault] = attrs.field(factory=dict)
     affected_zone: str = ""
     lost_reply_shares: dict[str, float] = attrs.field(factory=dict)
+    rejected_shares: dict[str, float] = attrs.field(factory=dict)
     affected_starts: dict[str, int] = attrs.field(factory=dict)
     """Number of start commands that have failed, by runner."""
 
@@ -50,5 +53,13 @@
 
     def loses_reply(self, runner_id: str, random: Random) -> bool:
         """Draw whether the reply to a command is lost."""
-        share = self.lost_reply_shares.get(runner_id, 0.0)
-        return share > 0.0 and random.random() < share
+        return _draw(self.lost_reply_shares, runner_id, random)
+
+    def rejects(self, runner_id: str, random: Random) -> bool:
+        """Draw whether a runner rejects a command without any effect."""
+        return _draw(self.rejected_shares, runner_id, random)
+
+
+def _draw(shares: dict[str, float], runner_id: str, random: Random) -> bool:
+    share = shares.get(runner_id, 0.0)
+    return share > 0.0 and random.random() < share
--- /dev/null
+++ b/sassafrasloft/testing/fleet/tests/test_predecessor_runs.py
@@ -0,0 +1,101 @@
+"""Takeovers while it is unknown what the predecessor scheduler runs on some runners."""
+
+import pytest
+
+from sassafrasloft.testing.fleet.tests.situations import (
+    follower_names,
+    is_completed,
+    scheduler_of,
+    settled_world,
+    submit_lookup,
+    submit_order,
+)
+
+SHED_SHARE = 0.4
+"""Share of commands that an overloaded runner rejects."""
+TAKEOVER_MS = 300
+"""Upper limit of the time until another instance has taken over from a killed one."""
+
+
+def busy_runners(world):
+    """Return the ids of the runners that have runs."""
+    return [name for name, one in sorted(world.runners.items()) if one.running]
+
+
+def submit_orders(world, count):
+    """Submit long jobs to followers and let their tasks start."""
+    names = follower_names(world)
+    jobs = [submit_order(world, n, names[n % len(names)]) for n in range(1, count + 1)]
+    world.run(50)
+    return jobs
+
+
+def submit_each_15_ms(world, first, count, submit, instances):
+    """Submit jobs to some instances in turn."""
+    jobs = []
+    for number in range(count):
+        instance = instances[number % len(instances)]
+        jobs.append(submit(world, first + number, instance))
+        world.run(15)
+    return jobs
+
+
+@pytest.mark.parametrize("rejecting_ms", [150, 400, 2_500])
+def test_task_on_runner_that_rejects_polls_is_not_started_elsewhere(rejecting_ms):
+    """Guards against a second run of tasks on runners that reject the first polls.
+
+    A rejected poll tells nothing of the runs, but counted as contact with the runner.
+    """
+    world = settled_world()
+    jobs = submit_orders(world, 6)
+    rejecting = busy_runners(world)[:4]
+    world.runner_faults.rejected_shares = dict.fromkeys(rejecting, 1.0)
+    world.kill(scheduler_of(world))
+    world.run(rejecting_ms)
+    world.runner_faults.rejected_shares = {}
+    world.run(3_000)
+    assert all(job.answers for job in jobs)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_scheduler_killed_while_runners_shed_load_starts_no_task_twice(seed):
+    """Guards against second runs under load, with runners that reject a share of polls.
+
+    Load pattern: the scheduler is killed twice while a sixth of the runners reject two
+    fifths of all commands.
+    """
+    world = settled_world(runners=8, seed=seed)
+    shedding = sorted(world.runners)[::6]
+    world.runner_faults.rejected_shares = dict.fromkeys(shedding, SHED_SHARE)
+    # The others are killed first.
+    instances = sorted(follower_names(world))[-2:]
+    jobs = []
+    for first in (1, 41):
+        jobs += submit_each_15_ms(world, first, 20, submit_order, instances)
+        world.kill(scheduler_of(world))
+        world.run(TAKEOVER_MS)
+        jobs += submit_each_15_ms(world, first + 20, 20, submit_lookup, instances)
+    world.run(3_000)
+    assert all(job.answers for job in jobs)
+
+
+def test_runner_that_rejects_first_poll_is_polled_again_soon():
+    """Guards against jobs that wait for a runner that would answer the next poll.
+
+    Load pattern: a scheduler fails while runners are overloaded. Jobs of a predecessor
+    wait until all runners have told what they run.
+    """
+    world = settled_world()
+    jobs = submit_orders(world, 4)
+    rejecting = busy_runners(world)
+    world.runner_faults.rejected_shares = dict.fromkeys(rejecting, 1.0)
+    old = scheduler_of(world)
+    world.kill(old)
+    world.run(TAKEOVER_MS)
+    assert scheduler_of(world) != old
+    world.runner_faults.rejected_shares = {}
+    world.run(100)
+    board = world.instances[scheduler_of(world)].core.board
+    assert all(view.contacted for view in board.pool.runners.values())
+    world.run(1_500)
+    assert all(is_completed(job) for job in jobs)
