Take no list of runs from polls under an earlier fencing token

What callers could see: a task that an acting scheduler runs in a zone that has returned runs a second time.

Cause: after a change of the token a runner counts as unknown until it has listed its runs "under the current token", but the token of the poll was not looked at. A late reply to an earlier poll, executed before another scheduler used the runner, counted as contact.

Change: poll replies under an earlier token are discarded, and other replies under one end no silence. The poll that is sent with the change repeats the list.

Measured: test_reply_to_poll_under_earlier_token_is_no_contact failed before; tests of the fleet, runs, scheduling and leadership pass.

--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -93,7 +93,7 @@
         if reply.outcome is CommandOutcome.OTHER_INCARNATION and call.kind != "start":
             self._handle_other_incarnation(view, board)
         if isinstance(reply, PollReply):
-            self._handle_poll_reply(view, event.call_id, reply, board)
+            self._handle_poll_reply(view, event.call_id, call, reply, board)
         elif isinstance(reply, StartReply) and run is not None:
             self._handle_start_reply(view, run, reply, board)
         elif isinstance(reply, StopReply) and run is not None:
@@ -150,6 +150,7 @@
         self,
         view: RunnerView,
         call_id: int,
+        call: polling.OpenCall,
         reply: PollReply,
         board: InstanceBoard,
     ) -> None:
@@ -157,6 +158,8 @@
             view.long_poll_call = 0
         if reply.outcome is not CommandOutcome.DONE:
             return
+        if not polling.is_under_current_token(call, view, board):
+            return  # The reply to the next poll repeats what it lists.
         if 0 <= reply.started_at_ms < view.process_started_at_ms:
             return  # A late reply of an earlier process.
         if polling.is_new_incarnation(view, reply):
--- a/sassafrasloft/runs/polling.py
+++ b/sassafrasloft/runs/polling.py
@@ -243,9 +243,10 @@
     if reply.outcome is CommandOutcome.UNHEALTHY and not view.contacted:
         _record_rejected_contact(view, board)
     # The list of runs in the reply to a poll is examined apart from this.
-    lists_runs = isinstance(reply, PollReply)
-    if view.contacted and not lists_runs and reply.outcome in TOKEN_ACCEPTED_OUTCOMES:
-        view.no_contact_since = -1
+    if view.contacted and not isinstance(reply, PollReply):
+        accepted = reply.outcome in TOKEN_ACCEPTED_OUTCOMES
+        if accepted and is_under_current_token(call, view, board):
+            view.no_contact_since = -1
     if reply.runner_clock_ms >= 0:
         update_clock_offset(view, reply.runner_clock_ms, board.now)
 
@@ -272,6 +273,17 @@
     view.contact_rejected_at = board.now
 
 
+def is_under_current_token(
+    call: OpenCall, view: RunnerView, board: InstanceBoard
+) -> bool:
+    """Return whether a call was made under the fencing token in force.
+
+    After the token has changed, another scheduler may have used the runner since an
+    earlier call was carried out.
+    """
+    return call.token == board.leadership.token_for(view.entry.zone)
+
+
 def record_contact(view: RunnerView, board: InstanceBoard) -> None:
     """Record that a runner has listed all of its runs under the token in force."""
     if not view.contacted:
--- a/sassafrasloft/testing/fleet/tests/test_predecessor_runs.py
+++ b/sassafrasloft/testing/fleet/tests/test_predecessor_runs.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from sassafrasloft.instance.events import RunnerReplied, ZoneReclaimed
+from sassafrasloft.runs import CommandOutcome, PollReply
 from sassafrasloft.testing.fleet.tests.situations import (
     follower_names,
     is_completed,
@@ -99,3 +101,28 @@
     assert all(view.contacted for view in board.pool.runners.values())
     world.run(1_500)
     assert all(is_completed(job) for job in jobs)
+
+
+def test_reply_to_poll_under_earlier_token_is_no_contact():
+    """Guards against trust in a list of runs from before another scheduler's use.
+
+    After an acting scheduler had used the runners of a zone, a late reply to a poll
+    from before counted as a list of all runs.
+    """
+    world = settled_world()
+    instance = world.instances[scheduler_of(world)]
+    board = instance.core.board
+    view = next(one for one in board.pool.runners.values() if one.long_poll_call)
+    late_call, zone = view.long_poll_call, view.entry.zone
+    world.cut = lambda one, other: True
+    board.leadership.zone_epochs[zone] = 1
+    world.tell(instance, ZoneReclaimed(zone, 1))
+    late = PollReply(
+        CommandOutcome.DONE, world.runners[view.runner_id].clock(world.now)
+    )
+    world.tell(instance, RunnerReplied(late_call, late))
+    assert not view.contacted
+    assert board.pool.unknown_runs_possible(world.now, 0)
+    world.cut = lambda one, other: False
+    world.run(300)
+    assert all(one.contacted for one in board.pool.runners.values())
