Report the gaps of what a scheduler knows to the next one

Cause: the report of a scheduler that stops was taken as complete by the next one, so that all jobs which came again could start. It left out tasks that the sender had deferred since its own predecessor had reported them as running, what it had been told of jobs that were not submitted to it yet, runs that a runner had listed of such jobs, and, after a killed or cut-off scheduler, runners that it had not reached.

Change: reports pass on possible runs with the time that is left, name unseen runners (none if any runner could be), and vouch for jobs that no earlier scheduler had. unseen_runners derives this for starts and for reports. A report ends the deferral of its jobs only if it covers all runners or vouches for the job; reports on one job are merged; one that is not of a job's last scheduler no longer counts as such. New log line handover_received. Reports of earlier releases cover no runner: the takeover after an upgrade waits for lists.

Why it works: a start after any chain of takeovers rests on a runner's own list, on a report that covers the runner, or on the end of the leases.

test_handover.py names the covered runners in its message, as the field is new, and reads the field that takes the place of predecessor_reported.

--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -339,13 +339,41 @@
     backoff_ms: Milliseconds = 0
 
 
+@attrs.frozen
+class PossibleRun:
+    """A task that may have a run whose lease is no longer renewed.
+
+    The run ends within `remaining_ms`.
+    """
+
+    task: str
+    remaining_ms: Milliseconds
+
+
 @attrs.frozen
 class JobProgress:
-    """The completed tasks of an open job, and its tasks that have a run."""
+    """The completed tasks of an open job, and its tasks that have a run.
+
+    The sender has not seen the runs of `possible_runs`: an earlier scheduler reported
+    them. `complete` is set if the job has no other runs than those listed here.
+    """
 
     job_id: str
     done: tuple[str, ...]
     running: tuple[str, ...]
+    possible_runs: tuple[PossibleRun, ...] = ()
+    complete: bool = False
+
+
+@attrs.frozen
+class UnseenRunner:
+    """A runner that may have runs which the sender does not know.
+
+    They were started by earlier schedulers and end within `remaining_ms`.
+    """
+
+    runner_id: str
+    remaining_ms: Milliseconds
 
 
 @register_message("handover")
@@ -354,13 +382,16 @@
     """The progress of open jobs, from a scheduler that stops or steps down.
 
     `revision` is its leadership revision. If it was not `acting`, no other runs were
-    started under that leadership.
+    started under that leadership. Apart from `unseen_runners`, the message covers the
+    runs of earlier schedulers as well; if this is None, as from earlier releases, it
+    covers those of no runner.
     """
 
     revision: int
     acting: bool
     zone_epochs: tuple[ZoneEpoch, ...]
     jobs: tuple[JobProgress, ...]
+    unseen_runners: tuple[UnseenRunner, ...] | None = None
 
 
 @register_message("moved")
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -10,7 +10,6 @@
     Handover,
     Heartbeat,
     Hello,
-    JobProgress,
     Member,
     Welcome,
     ZoneEpoch,
@@ -21,7 +20,7 @@
     PeerStream,
     Role,
 )
-from sassafrasloft.scheduling import ScheduledJob, TaskState
+from sassafrasloft.scheduling.handovers import report_jobs, report_unseen_runners
 
 MEMBERS_PER_HEARTBEAT = 1_000
 """Entries of member lists that are sent in one heartbeat period, at least one list: of
@@ -283,34 +282,12 @@
 
 
 def handover_message(board: InstanceBoard) -> Handover:
-    """Return the state of jobs and runs that the next scheduler needs.
-
-    Runs that are being stopped may belong to jobs that are no longer open; such jobs
-    are listed without completed tasks.
-    """
-    live: dict[str, list[str]] = {
-        job.job_id: [] for job in board.jobs.open.values() if job.start_sent
-    }
-    for task in board.pool.live_runs:
-        live.setdefault(task.partition(".")[0], []).append(task)
-    jobs = tuple(
-        JobProgress(
-            job_id, _completed_tasks(board.jobs.open.get(job_id)), tuple(running)
-        )
-        for job_id, running in live.items()
-    )
+    """Return what the next scheduler needs to know of jobs, runs and zones."""
     leadership = board.leadership
     return Handover(
         leadership.base_token // TOKENS_PER_REVISION,
         leadership.role is Role.ACTING,
         leadership.used_zone_epochs(),
-        jobs,
-    )
-
-
-def _completed_tasks(job: ScheduledJob | None) -> tuple[str, ...]:
-    if job is None:
-        return ()
-    return tuple(
-        task.name for task in job.tasks.values() if task.state is TaskState.DONE
+        report_jobs(board),
+        report_unseen_runners(board),
     )
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -284,10 +284,15 @@
         view.add(run)
         return run
 
-    def unknown_runs_possible(
+    def has_contacted(self, runner_id: str) -> bool:
+        """Return whether a runner has listed its runs under the current token."""
+        view = self.runners.get(runner_id)
+        return view is not None and view.contacted
+
+    def unseen_runners(
         self, now: Milliseconds, lease_expiry_ms: Milliseconds
-    ) -> bool:
-        """Return whether a runner may have runs unknown to this scheduler.
+    ) -> dict[str, Milliseconds]:
+        """Return the runners that may have runs unknown to this scheduler.
 
         Parameters
         ----------
@@ -295,9 +300,16 @@
         lease_expiry_ms : Milliseconds
             Time without contact after which the leases have expired, unless another
             scheduler renews them.
+
+        Returns
+        -------
+        dict
+            By runner, when these runs have ended at the latest.
         """
-        return any(
-            view.fenced or 0 <= now - view.no_contact_since <= lease_expiry_ms
-            for view in self.runners.values()
-            if view.no_contact_since >= 0 or view.fenced
-        )
+        unseen = {}
+        for view in self.runners.values():
+            if view.fenced:
+                unseen[view.runner_id] = now + lease_expiry_ms
+            elif 0 <= view.no_contact_since >= now - lease_expiry_ms:
+                unseen[view.runner_id] = view.no_contact_since + lease_expiry_ms
+        return unseen
--- /dev/null
+++ b/sassafrasloft/scheduling/handovers.py
@@ -0,0 +1,180 @@
+"""Reports of jobs and runs from a scheduler that stops to the next ones.
+
+Load pattern: schedulers are stopped or fail one shortly after the other, while some
+runners cannot be reached. The second one has not seen all runs of the first one, so
+that its report passes on what it was told, and names the runners that it has not seen.
+"""
+
+from sassafrasloft.clock import Milliseconds
+from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.instance.messages import Handover, JobProgress, UnseenRunner
+from sassafrasloft.runs import RunnerPool
+from sassafrasloft.scheduling.inherited_jobs import InheritedJob, remaining_runs
+from sassafrasloft.scheduling.jobs import ScheduledJob, TaskState
+from sassafrasloft.scheduling.predecessor_runs import (
+    has_only_known_runs,
+    unseen_runners,
+)
+
+_NOTHING_INHERITED = InheritedJob()
+
+# Sending
+
+
+def report_unseen_runners(board: InstanceBoard) -> tuple[UnseenRunner, ...] | None:
+    """Return the runners whose runs the report does not cover; None if it may be any.
+
+    Runs of this scheduler are covered on all runners.
+    """
+    unseen = unseen_runners(board)
+    if unseen is None:
+        return None
+    return tuple(
+        UnseenRunner(runner_id, max(0, until - board.now))
+        for runner_id, until in unseen.items()
+    )
+
+
+def report_jobs(board: InstanceBoard) -> tuple[JobProgress, ...]:
+    """Return the state of jobs and runs that the next scheduler needs.
+
+    Runs that are being stopped may belong to jobs that are no longer open; such jobs
+    are listed without completed tasks. A job of which nothing is to be reported is
+    listed if the next scheduler could not tell that it has no runs.
+    """
+    running = _tasks_with_runs(board.pool)
+    covers_all = unseen_runners(board) == {}
+    reports = [
+        _report_job(job, running.pop(job_id, []), covers_all, board.now)
+        for job_id, job in board.jobs.open.items()
+    ]
+    reports += [
+        _report_inherited(job_id, known, running.pop(job_id, []), covers_all, board.now)
+        for job_id, known in board.jobs.inherited.items()
+    ]
+    reports += [
+        JobProgress(job_id, (), tuple(tasks), complete=covers_all)
+        for job_id, tasks in running.items()
+    ]
+    return tuple(one for one in reports if _is_needed(one, covers_all))
+
+
+def _tasks_with_runs(pool: RunnerPool) -> dict[str, list[str]]:
+    """Return the tasks with a run that this scheduler started or saw, by job."""
+    tasks: dict[str, list[str]] = {}
+    for task in (*pool.live_runs, *pool.orphans):
+        tasks.setdefault(task.partition(".")[0], []).append(task)
+    return tasks
+
+
+def _report_job(
+    job: ScheduledJob, running: list[str], covers_all: bool, now: Milliseconds
+) -> JobProgress:
+    deferred = {}
+    if job.has_deferred_tasks:
+        deferred = {
+            task.name: task.not_before
+            for task in job.tasks.values()
+            if task.run is None and task.state is not TaskState.DONE
+        }
+    done = [one.name for one in job.tasks.values() if one.state is TaskState.DONE]
+    return JobProgress(
+        job.job_id,
+        tuple(done),
+        tuple(running),
+        remaining_runs(deferred, now),
+        covers_all or has_only_known_runs(job),
+    )
+
+
+def _report_inherited(
+    job_id: str,
+    known: InheritedJob,
+    running: list[str],
+    covers_all: bool,
+    now: Milliseconds,
+) -> JobProgress:
+    possible = {
+        task: until
+        for task, until in known.possible_runs.items()
+        if task not in running
+    }
+    return JobProgress(
+        job_id,
+        known.done,
+        tuple(running),
+        remaining_runs(possible, now),
+        covers_all or known.complete,
+    )
+
+
+def _is_needed(progress: JobProgress, covers_all: bool) -> bool:
+    has_content = progress.done or progress.running or progress.possible_runs
+    return bool(has_content) or (progress.complete and not covers_all)
+
+
+# Receiving
+
+
+def record_handover(
+    message: Handover, board: InstanceBoard
+) -> list[tuple[ScheduledJob, InheritedJob]]:
+    """Record the report of another scheduler; return what it says of open jobs.
+
+    Only the report of the direct predecessor shows which runs may still exist; one of
+    an earlier holder of leadership does not cover later runs.
+    """
+    replaced = board.leadership.replaced_revision
+    is_direct = not message.acting and 0 < replaced == message.revision
+    unseen = message.unseen_runners
+    board.log(
+        "handover_received",
+        revision=message.revision,
+        acting=message.acting,
+        predecessor=is_direct,
+        jobs=len(message.jobs),
+        unseen_runners=-1 if unseen is None else len(unseen),
+    )
+    if is_direct and unseen is not None:
+        board.jobs.unseen_by_predecessor = {
+            one.runner_id: board.now + one.remaining_ms for one in unseen
+        }
+    if not message.acting and message.revision > 0 and unseen == ():
+        board.jobs.reported_revisions.add(message.revision)
+    return _record_jobs(message, is_direct, board)
+
+
+def _record_jobs(
+    message: Handover, is_direct: bool, board: InstanceBoard
+) -> list[tuple[ScheduledJob, InheritedJob]]:
+    lease_expiry_ms = board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
+    of_open_jobs = []
+    jobs = board.jobs
+    for progress in message.jobs:
+        reported = InheritedJob.from_progress(
+            progress, board.now, lease_expiry_ms, is_direct, message.acting
+        )
+        job = jobs.open.get(progress.job_id)
+        if job is not None:
+            of_open_jobs.append((job, reported))
+        else:
+            known = jobs.inherited.get(progress.job_id, _NOTHING_INHERITED)
+            jobs.inherited[progress.job_id] = known.merge(reported)
+            jobs.inherited_at = board.now
+    return of_open_jobs
+
+
+def release_deferred_tasks(message: Handover, board: InstanceBoard) -> None:
+    """Let tasks start that were deferred until the holder of a right had reported.
+
+    Tasks that the report lists as possible runs are deferred again when it is applied.
+    """
+    if message.acting or message.revision <= 0:
+        return
+    complete = {one.job_id for one in message.jobs if one.complete}
+    for job in board.jobs.open.values():
+        if job.predecessor_revision != message.revision:
+            continue
+        if message.unseen_runners == () or job.job_id in complete:
+            for task in job.waiting:
+                task.not_before = 0
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -13,7 +13,6 @@
     CancelJob,
     Handover,
     JobAnswer,
-    JobProgress,
     JobState,
     Message,
     NotScheduling,
@@ -25,7 +24,9 @@
 from sassafrasloft.instance.tracing import child_span
 from sassafrasloft.invariants import InstanceInvariant
 from sassafrasloft.runs import RunState
+from sassafrasloft.scheduling import handovers
 from sassafrasloft.scheduling.admission import Admission, Refusal
+from sassafrasloft.scheduling.inherited_jobs import InheritedJob
 from sassafrasloft.scheduling.jobs import (
     JobOutcome,
     ScheduledJob,
@@ -90,34 +91,16 @@
             self._send(stream_id, QueueState(message.route, pending), board)
 
     def _handle_handover(self, message: Handover, board: InstanceBoard) -> None:
-        """Apply the progress that another scheduler reports of its open jobs.
+        """Apply what another scheduler reports of its jobs.
 
         Some of these jobs may have been submitted here already.
         """
-        # Only the handover of the direct predecessor reports the runs that may still
-        # exist; one of an earlier holder does not cover them.
-        replaced = board.leadership.replaced_revision
-        if not message.acting and 0 < replaced == message.revision:
-            board.jobs.predecessor_reported = True
-        if not message.acting and message.revision > 0:
-            self._release_deferred_tasks(message.revision, board)
-        for progress in message.jobs:
-            job = board.jobs.open.get(progress.job_id)
-            if job is None:
-                board.jobs.inherited[progress.job_id] = progress
-                board.jobs.inherited_at = board.now
-            else:
-                self._apply_progress(job, progress, board)
+        reported = handovers.record_handover(message, board)
+        handovers.release_deferred_tasks(message, board)
+        for job, inherited in reported:
+            self._apply_inherited(job, inherited, board)
         board.jobs.changed = True
 
-    def _release_deferred_tasks(self, revision: int, board: InstanceBoard) -> None:
-        """Let jobs start that waited for the report of the holder of a right."""
-        board.jobs.reported_revisions.add(revision)
-        for job in board.jobs.open.values():
-            if job.predecessor_revision == revision:
-                for task in job.waiting:
-                    task.not_before = 0
-
     def _send(self, stream_id: int, message: Message, board: InstanceBoard) -> None:
         if stream_id == OWN_INSTANCE:
             board.post(MessageForGateway(message))
@@ -180,10 +163,7 @@
         board.jobs.open[job.job_id] = job
         board.jobs.changed = True
         board.count("jobs_taken")
-        already_reported = message.predecessor_revision in board.jobs.reported_revisions
-        self._apply_inherited_progress(
-            job, 0 if already_reported else message.predecessor_runs_ms, board
-        )
+        self._continue_job(job, message.predecessor_runs_ms, board)
         work = startable_work(job, board)
         service = job.route.service
         if not job.is_caller_retry:
@@ -232,34 +212,34 @@
         )
         return job
 
-    def _apply_inherited_progress(
+    def _continue_job(
         self, job: ScheduledJob, predecessor_runs_ms: Milliseconds, board: InstanceBoard
     ) -> None:
-        """Continue a job from what its predecessor scheduler has done.
+        """Continue a job from what its predecessor schedulers have done.
 
         Without a report of the predecessor all tasks are deferred until its runs must
         have ended.
         """
-        progress = board.jobs.inherited.pop(job.job_id, None)
-        if progress is None:
-            if predecessor_runs_ms:
-                for task in job.tasks.values():
-                    job.defer(task, board.now + predecessor_runs_ms)
-        else:
-            self._apply_progress(job, progress, board)
+        inherited = board.jobs.inherited.pop(job.job_id, None)
+        if predecessor_runs_ms and not _is_reported(job, inherited, board):
+            for task in job.tasks.values():
+                job.defer(task, board.now + predecessor_runs_ms)
+        if inherited is not None:
+            self._apply_inherited(job, inherited, board)
             if job.job_id not in board.jobs.open:
                 return
         for task in list(job.waiting):
             self.adopt_if_running(job, task, board)
 
-    def _apply_progress(
-        self, job: ScheduledJob, progress: JobProgress, board: InstanceBoard
+    def _apply_inherited(
+        self, job: ScheduledJob, inherited: InheritedJob, board: InstanceBoard
     ) -> None:
-        lapse_ms = board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
-        for name in progress.running:
-            if name in job.tasks:
-                job.defer(job.tasks[name], board.now + lapse_ms)
-        for name in progress.done:
+        job.predecessor_runs_known |= inherited.complete
+        for name, until in inherited.possible_runs.items():
+            task = job.tasks.get(name)
+            if task is not None:
+                job.defer(task, max(until, task.not_before))
+        for name in inherited.done:
             task = job.tasks.get(name)
             if task is not None and task.state is TaskState.WAITING:
                 job.start_sent = True
@@ -418,6 +398,18 @@
             board.jobs.inherited.clear()
 
 
+def _is_reported(
+    job: ScheduledJob, inherited: InheritedJob | None, board: InstanceBoard
+) -> bool:
+    """Return whether the last scheduler of a job has reported all runs of the job."""
+    if job.predecessor_revision in board.jobs.reported_revisions:
+        return True
+    if inherited is None:
+        return False
+    was_acting = job.predecessor_revision == 0
+    return inherited.from_acting if was_acting else inherited.complete
+
+
 def _route_of(message: SubmitJob, board: InstanceBoard) -> Route | None:
     """Return the route of a job by the newer of the configurations that know it.
 
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -5,9 +5,9 @@
 import attrs
 
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.instance.messages import JobProgress
 from sassafrasloft.runs import Run, StartRule
 from sassafrasloft.scheduling.backlog import Backlog
+from sassafrasloft.scheduling.inherited_jobs import InheritedJob
 from sassafrasloft.scheduling.work_rate import WorkRate
 from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, Route, task_name
@@ -105,6 +105,8 @@
     a caller waits."""
     resubmitted: bool = False
     """Whether another scheduler may have started tasks of the job before."""
+    predecessor_runs_known: bool = False
+    """Whether the direct predecessor reported all runs of a resubmitted job."""
     is_caller_retry: bool = False
     """Whether its caller sent it before, as detected by `CallerRetryDetector`."""
     may_have_run_before: bool = False
@@ -233,14 +235,16 @@
     open: dict[str, ScheduledJob] = attrs.field(factory=dict)
     answers: dict[str, tuple[JobOutcome, Milliseconds]] = attrs.field(factory=dict)
     """Outcome and end time of ended jobs, kept for callers that ask again."""
-    inherited: dict[str, JobProgress] = attrs.field(factory=dict)
-    """Progress that predecessors reported of jobs not submitted here yet, by job."""
+    inherited: dict[str, InheritedJob] = attrs.field(factory=dict)
+    """What predecessors reported of jobs not submitted here yet, by job."""
     inherited_at: Milliseconds = -1
     """When such progress was last reported."""
     reported_revisions: set[int] = attrs.field(factory=set)
-    """Revisions of rights whose holders have reported all of their runs."""
-    predecessor_reported: bool = False
-    """Whether the predecessor of this scheduler has reported all of its runs."""
+    """Revisions of rights whose holders have reported all runs, also of earlier ones.
+    """
+    unseen_by_predecessor: dict[str, Milliseconds] | None = None
+    """By runner that the report of the direct predecessor does not cover: when the runs
+    that only earlier schedulers knew of have ended. None without such a report."""
     new_job_rate: WorkRate = attrs.field(factory=WorkRate)
     """Arrival rate of work, without caller retries."""
     backlog: Backlog = attrs.field(factory=Backlog)
@@ -265,4 +269,4 @@
         self.inherited.clear()
         self.reported_revisions.clear()
         self.backlog.replace({})
-        self.predecessor_reported = False
+        self.unseen_by_predecessor = None
--- a/sassafrasloft/scheduling/predecessor_runs.py
+++ b/sassafrasloft/scheduling/predecessor_runs.py
@@ -3,36 +3,62 @@
 Load pattern: a scheduler becomes unreachable, and which tasks of its jobs are running
 is unknown. These jobs get no capacity until the leases of that scheduler have expired;
 new jobs are placed before them.
+
+The evidence that no such run exists is, for each runner, its own list of runs, a report
+of the direct predecessor that covers the runner, or the end of the leases.
 """
 
+from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.runs.polling import predecessor_lease_ms
 from sassafrasloft.scheduling.jobs import JobOutcome, ScheduledJob
 
 
-def predecessor_runs_possible(board: InstanceBoard) -> bool:
-    """Return whether runners may have runs that only a predecessor knows of.
+def unseen_runners(board: InstanceBoard) -> dict[str, Milliseconds] | None:
+    """Return the runners that may have runs which only a predecessor knows of.
 
-    A runner that has not answered may continue these runs until their leases expire.
+    Returns
+    -------
+    dict or None
+        By runner, when these runs have ended at the latest. None if runners that this
+        scheduler does not know may have such runs as well.
     """
-    tuning = board.tuning
+    reported = board.jobs.unseen_by_predecessor
+    if reported is not None:
+        return {
+            runner_id: until
+            for runner_id, until in reported.items()
+            if board.now <= until and not board.pool.has_contacted(runner_id)
+        }
+    if _runners_may_be_unlisted(board):
+        return None
+    return board.pool.unseen_runners(board.now, predecessor_lease_ms(board.tuning))
+
+
+def _runners_may_be_unlisted(board: InstanceBoard) -> bool:
+    """Return whether a runner that the predecessor used may be unknown here."""
+    tuning, pool = board.tuning, board.pool
     regained = board.configuration.store_regained_at
     if 0 <= board.now - regained < tuning.missing_grace_ms and regained >= 0:
-        # Runners whose entries lapsed in the outage may not be listed again yet.
+        # Entries that lapsed in the outage may not be in the list again yet.
         return True
-    pool = board.pool
-    lapse = predecessor_lease_ms(tuning)
     list_is_old = pool.entries_read_at <= pool.activated_at
-    if list_is_old and board.now - pool.activated_at <= lapse:
-        return True
-    return pool.unknown_runs_possible(board.now, lapse)
+    return list_is_old and board.now - pool.activated_at <= predecessor_lease_ms(tuning)
+
+
+def predecessor_runs_possible(board: InstanceBoard) -> bool:
+    """Return whether there may be runs that only a predecessor knows of."""
+    return unseen_runners(board) != {}
+
+
+def has_only_known_runs(job: ScheduledJob) -> bool:
+    """Return whether all runs of a job are known, whatever unseen runners have."""
+    return not job.resubmitted or job.predecessor_runs_known
 
 
 def may_start(job: ScheduledJob, board: InstanceBoard) -> bool:
     """Return whether it is certain that no predecessor still has runs of a job."""
-    if not job.resubmitted or board.jobs.predecessor_reported:
-        return True
-    return not board.jobs.predecessor_runs_possible
+    return has_only_known_runs(job) or not board.jobs.predecessor_runs_possible
 
 
 def startable_work(job: ScheduledJob, board: InstanceBoard) -> float:
--- a/sassafrasloft/testing/fleet/tests/test_handover.py
+++ b/sassafrasloft/testing/fleet/tests/test_handover.py
@@ -24,6 +24,6 @@
     replaced = board.leadership.replaced_revision
     assert replaced > 0
     stream = next(one for one in board.leadership.streams.values() if one.follower)
-    message = Handover(replaced - older, acting, (), ())
+    message = Handover(replaced - older, acting, (), (), ())
     world.tell(instance, MessageReceived(stream.stream_id, message))
-    assert board.jobs.predecessor_reported is known
+    assert (board.jobs.unseen_by_predecessor is not None) is known
--- a/sassafrasloft/testing/fleet/tests/test_predecessor_runs.py
+++ b/sassafrasloft/testing/fleet/tests/test_predecessor_runs.py
@@ -122,7 +122,7 @@
     )
     world.tell(instance, RunnerReplied(late_call, late))
     assert not view.contacted
-    assert board.pool.unknown_runs_possible(world.now, 0)
+    assert view.runner_id in board.pool.unseen_runners(world.now, 0)
     world.cut = lambda one, other: False
     world.run(300)
     assert all(one.contacted for one in board.pool.runners.values())
