Name the runner of each reported run, and start tasks on its evidence

What callers saw: at a planned restart under load some jobs of short tasks took 1.2 to 1.3 s, as their tasks waited for leases of runs that had ended.

Cause: a report named tasks, not where they run. A task that was reported as running, and that no runner listed any more, was deferred until any lease must have ended (1.06 s).

Change: reports name the runner of each possible run. is_deferred lets a task start once that runner has listed its runs under the token in force: no earlier scheduler can start a run there after that, and a run that goes on is on the list. Silent and fenced runners do not count. Earlier releases read and send only the tasks, as before.

Why it works: the wait ends by the evidence of the one runner that can have the run, also after several takeovers, as the runner is passed on.

--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -341,21 +341,23 @@
 
 @attrs.frozen
 class PossibleRun:
-    """A task that may have a run whose lease is no longer renewed.
+    """A task that may have a run on a runner.
 
-    The run ends within `remaining_ms`.
+    The run ends within `remaining_ms`, unless the receiver renews its lease.
     """
 
     task: str
+    runner_id: str
     remaining_ms: Milliseconds
 
 
 @attrs.frozen
 class JobProgress:
-    """The completed tasks of an open job, and its tasks that have a run.
+    """The completed tasks of an open job, and its tasks that may have a run.
 
-    The sender has not seen the runs of `possible_runs`: an earlier scheduler reported
-    them. `complete` is set if the job has no other runs than those listed here.
+    `possible_runs` lists the runs that the sender started or saw and those that earlier
+    schedulers reported. Earlier releases read and send only the tasks, `running`.
+    `complete` is set if the job has no other runs than those listed here.
     """
 
     job_id: str
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -285,9 +285,14 @@
         return run
 
     def has_contacted(self, runner_id: str) -> bool:
-        """Return whether a runner has listed its runs under the current token."""
+        """Return whether a runner has listed its runs under the current token.
+
+        It does not count while it is silent, as another scheduler may have used it.
+        """
         view = self.runners.get(runner_id)
-        return view is not None and view.contacted
+        if view is None or view.fenced:
+            return False
+        return view.contacted and view.no_contact_since < 0
 
     def unseen_runners(
         self, now: Milliseconds, lease_expiry_ms: Milliseconds
--- a/sassafrasloft/scheduling/handovers.py
+++ b/sassafrasloft/scheduling/handovers.py
@@ -8,8 +8,11 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.messages import Handover, JobProgress, UnseenRunner
-from sassafrasloft.runs import RunnerPool
-from sassafrasloft.scheduling.inherited_jobs import InheritedJob, remaining_runs
+from sassafrasloft.scheduling.inherited_jobs import (
+    InheritedJob,
+    PossibleRuns,
+    remaining_runs,
+)
 from sassafrasloft.scheduling.jobs import ScheduledJob, TaskState
 from sassafrasloft.scheduling.predecessor_runs import (
     has_only_known_runs,
@@ -18,6 +21,12 @@
 
 _NOTHING_INHERITED = InheritedJob()
 
+
+def lease_expiry_ms(board: InstanceBoard) -> Milliseconds:
+    """Return the time after which leases that were just renewed have expired."""
+    return board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
+
+
 # Sending
 
 
@@ -42,70 +51,57 @@
     are listed without completed tasks. A job of which nothing is to be reported is
     listed if the next scheduler could not tell that it has no runs.
     """
-    running = _tasks_with_runs(board.pool)
+    runs = _runs_by_job(board)
     covers_all = unseen_runners(board) == {}
+    now = board.now
     reports = [
-        _report_job(job, running.pop(job_id, []), covers_all, board.now)
+        _report(
+            job_id,
+            _inherited_by_next(job, covers_all),
+            runs.pop(job_id, {}),
+            now,
+        )
         for job_id, job in board.jobs.open.items()
     ]
     reports += [
-        _report_inherited(job_id, known, running.pop(job_id, []), covers_all, board.now)
+        _report(job_id, known, runs.pop(job_id, {}), now)
         for job_id, known in board.jobs.inherited.items()
     ]
     reports += [
-        JobProgress(job_id, (), tuple(tasks), complete=covers_all)
-        for job_id, tasks in running.items()
+        _report(job_id, _NOTHING_INHERITED, runs_of_job, now)
+        for job_id, runs_of_job in runs.items()
     ]
     return tuple(one for one in reports if _is_needed(one, covers_all))
 
 
-def _tasks_with_runs(pool: RunnerPool) -> dict[str, list[str]]:
-    """Return the tasks with a run that this scheduler started or saw, by job."""
-    tasks: dict[str, list[str]] = {}
-    for task in (*pool.live_runs, *pool.orphans):
-        tasks.setdefault(task.partition(".")[0], []).append(task)
-    return tasks
+def _runs_by_job(board: InstanceBoard) -> dict[str, PossibleRuns]:
+    """Return the runs that this scheduler started or saw, by job."""
+    until = board.now + lease_expiry_ms(board)
+    runs: dict[str, PossibleRuns] = {}
+    for run in (*board.pool.live_runs.values(), *board.pool.orphans.values()):
+        runs_of_job = runs.setdefault(run.task.partition(".")[0], {})
+        runs_of_job[run.task] = {run.runner_id: until}
+    return runs
 
 
-def _report_job(
-    job: ScheduledJob, running: list[str], covers_all: bool, now: Milliseconds
-) -> JobProgress:
-    deferred = {}
-    if job.has_deferred_tasks:
-        deferred = {
-            task.name: task.not_before
-            for task in job.tasks.values()
-            if task.run is None and task.state is not TaskState.DONE
-        }
-    done = [one.name for one in job.tasks.values() if one.state is TaskState.DONE]
-    return JobProgress(
-        job.job_id,
-        tuple(done),
-        tuple(running),
-        remaining_runs(deferred, now),
+def _inherited_by_next(job: ScheduledJob, covers_all: bool) -> InheritedJob:
+    """Return what the next scheduler inherits of a job, apart from its runs."""
+    done = [one for one in job.tasks.values() if one.state is TaskState.DONE]
+    others = [one for one in job.tasks.values() if one.state is not TaskState.DONE]
+    return InheritedJob(
+        tuple(one.name for one in done),
+        {one.name: one.deferral() for one in others if one.run is None},
         covers_all or has_only_known_runs(job),
     )
 
 
-def _report_inherited(
-    job_id: str,
-    known: InheritedJob,
-    running: list[str],
-    covers_all: bool,
-    now: Milliseconds,
+def _report(
+    job_id: str, known: InheritedJob, runs: PossibleRuns, now: Milliseconds
 ) -> JobProgress:
-    possible = {
-        task: until
-        for task, until in known.possible_runs.items()
-        if task not in running
-    }
-    return JobProgress(
-        job_id,
-        known.done,
-        tuple(running),
-        remaining_runs(possible, now),
-        covers_all or known.complete,
-    )
+    # A run that this scheduler started or saw is the only one of its task.
+    possible_runs = remaining_runs({**known.possible_runs, **runs}, now)
+    tasks = dict.fromkeys(one.task for one in possible_runs)
+    return JobProgress(job_id, known.done, tuple(tasks), possible_runs, known.complete)
 
 
 def _is_needed(progress: JobProgress, covers_all: bool) -> bool:
@@ -147,12 +143,11 @@
 def _record_jobs(
     message: Handover, is_direct: bool, board: InstanceBoard
 ) -> list[tuple[ScheduledJob, InheritedJob]]:
-    lease_expiry_ms = board.settings.longest_lease_ms + board.tuning.lapse_margin_ms
     of_open_jobs = []
     jobs = board.jobs
     for progress in message.jobs:
         reported = InheritedJob.from_progress(
-            progress, board.now, lease_expiry_ms, is_direct, message.acting
+            progress, board.now, lease_expiry_ms(board), is_direct, message.acting
         )
         job = jobs.open.get(progress.job_id)
         if job is not None:
@@ -178,3 +173,4 @@
         if message.unseen_runners == () or job.job_id in complete:
             for task in job.waiting:
                 task.not_before = 0
+                task.possible_runs = {}
--- a/sassafrasloft/scheduling/inherited_jobs.py
+++ b/sassafrasloft/scheduling/inherited_jobs.py
@@ -7,6 +7,10 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.messages import JobProgress, PossibleRun
 
+PossibleRuns = dict[str, dict[str, Milliseconds]]
+"""By task and runner, when a run has ended at the latest. The id of a runner is empty
+if it is not known."""
+
 
 @attrs.frozen
 class InheritedJob:
@@ -15,8 +19,7 @@
     Parameters
     ----------
     done : tuple of str
-    possible_runs : dict
-        By task, when its run has ended at the latest.
+    possible_runs : PossibleRuns
     complete : bool
         Whether the direct predecessor reported that there are no other runs.
     from_acting : bool
@@ -24,7 +27,7 @@
     """
 
     done: tuple[str, ...] = ()
-    possible_runs: dict[str, Milliseconds] = attrs.field(factory=dict)
+    possible_runs: PossibleRuns = attrs.field(factory=dict)
     complete: bool = False
     from_acting: bool = False
 
@@ -44,14 +47,18 @@
         progress : JobProgress
         now : Milliseconds
         lease_expiry_ms : Milliseconds
-            Time after which leases that the sender may just have renewed have expired.
+            Time after which leases have expired that a sender of an earlier release may
+            just have renewed.
         is_direct : bool
             Whether no other instance held leadership since the sender did.
         from_acting : bool
         """
-        possible_runs = dict.fromkeys(progress.running, now + lease_expiry_ms)
+        possible_runs: PossibleRuns = {}
         for run in progress.possible_runs:
-            possible_runs.setdefault(run.task, now + run.remaining_ms)
+            until = now + run.remaining_ms
+            possible_runs.setdefault(run.task, {})[run.runner_id] = until
+        for task in progress.running:
+            possible_runs.setdefault(task, {"": now + lease_expiry_ms})
         complete = is_direct and progress.complete
         return cls(progress.done, possible_runs, complete, from_acting)
 
@@ -62,8 +69,8 @@
         possible.
         """
         possible_runs = dict(self.possible_runs)
-        for task, until in other.possible_runs.items():
-            possible_runs[task] = max(until, possible_runs.get(task, until))
+        for task, runs in other.possible_runs.items():
+            possible_runs[task] = later_ends(possible_runs.get(task, {}), runs)
         return InheritedJob(
             tuple(dict.fromkeys((*self.done, *other.done))),
             possible_runs,
@@ -72,12 +79,23 @@
         )
 
 
+def later_ends(
+    one: dict[str, Milliseconds], other: dict[str, Milliseconds]
+) -> dict[str, Milliseconds]:
+    """Return the possible runs of a task by runner, each with its later end."""
+    merged = dict(one)
+    for runner_id, until in other.items():
+        merged[runner_id] = max(until, merged.get(runner_id, until))
+    return merged
+
+
 def remaining_runs(
-    possible_runs: dict[str, Milliseconds], now: Milliseconds
+    possible_runs: PossibleRuns, now: Milliseconds
 ) -> tuple[PossibleRun, ...]:
-    """Return the runs that have not ended yet, in the form for the next scheduler."""
+    """Return the runs that may not have ended, in the form for the next scheduler."""
     return tuple(
-        PossibleRun(task, until - now)
-        for task, until in possible_runs.items()
+        PossibleRun(task, runner_id, until - now)
+        for task, runs in possible_runs.items()
+        for runner_id, until in runs.items()
         if until > now
     )
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -223,7 +223,7 @@
         inherited = board.jobs.inherited.pop(job.job_id, None)
         if predecessor_runs_ms and not _is_reported(job, inherited, board):
             for task in job.tasks.values():
-                job.defer(task, board.now + predecessor_runs_ms)
+                job.defer(task, {"": board.now + predecessor_runs_ms})
         if inherited is not None:
             self._apply_inherited(job, inherited, board)
             if job.job_id not in board.jobs.open:
@@ -235,10 +235,10 @@
         self, job: ScheduledJob, inherited: InheritedJob, board: InstanceBoard
     ) -> None:
         job.predecessor_runs_known |= inherited.complete
-        for name, until in inherited.possible_runs.items():
+        for name, runs in inherited.possible_runs.items():
             task = job.tasks.get(name)
             if task is not None:
-                job.defer(task, max(until, task.not_before))
+                job.defer(task, runs)
         for name in inherited.done:
             task = job.tasks.get(name)
             if task is not None and task.state is TaskState.WAITING:
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -7,7 +7,7 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.runs import Run, StartRule
 from sassafrasloft.scheduling.backlog import Backlog
-from sassafrasloft.scheduling.inherited_jobs import InheritedJob
+from sassafrasloft.scheduling.inherited_jobs import InheritedJob, later_ends
 from sassafrasloft.scheduling.work_rate import WorkRate
 from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, Route, task_name
@@ -54,7 +54,15 @@
     start_rule: StartRule = StartRule.ANYWHERE
     """Where it may start, as of the last scheduling pass."""
     not_before: Milliseconds = 0
-    """Earliest start: until then a run unknown to this scheduler may exist."""
+    """Earliest start: until then a run may exist on a runner that is not known."""
+    possible_runs: dict[str, Milliseconds] = attrs.field(factory=dict)
+    """By runner, when a run that another scheduler reported has ended at the latest."""
+
+    def deferral(self) -> dict[str, Milliseconds]:
+        """Return all possible runs by runner; those on no known one under no id."""
+        if not self.not_before:
+            return self.possible_runs
+        return {**self.possible_runs, "": self.not_before}
 
 
 @attrs.define(eq=False)
@@ -190,9 +198,17 @@
         step = self.request.steps[task.step]
         return step.demand.millicores * step.estimate_ms
 
-    def defer(self, task: ScheduledTask, until: Milliseconds) -> None:
-        """Keep a task from starting while an unknown run of it may still exist."""
-        task.not_before = until
+    def defer(self, task: ScheduledTask, runs: dict[str, Milliseconds]) -> None:
+        """Keep a task from starting while other runs of it may still exist.
+
+        Parameters
+        ----------
+        task : ScheduledTask
+        runs : dict
+            By runner, when the run has ended; the id is empty if it is not known.
+        """
+        task.possible_runs = later_ends(task.possible_runs, runs)
+        task.not_before = max(task.not_before, task.possible_runs.pop("", 0))
         self.has_deferred_tasks = True
 
     def lift_start_rules(self) -> None:
--- a/sassafrasloft/scheduling/predecessor_runs.py
+++ b/sassafrasloft/scheduling/predecessor_runs.py
@@ -11,7 +11,7 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.runs.polling import predecessor_lease_ms
-from sassafrasloft.scheduling.jobs import JobOutcome, ScheduledJob
+from sassafrasloft.scheduling.jobs import JobOutcome, ScheduledJob, ScheduledTask
 
 
 def unseen_runners(board: InstanceBoard) -> dict[str, Milliseconds] | None:
@@ -61,6 +61,20 @@
     return has_only_known_runs(job) or not board.jobs.predecessor_runs_possible
 
 
+def is_deferred(task: ScheduledTask, board: InstanceBoard) -> bool:
+    """Return whether a reported run of a task may still exist.
+
+    A runner that has listed its runs since accepts no start by an earlier scheduler.
+    Its runs are known, so that the task is either among them or has no run there.
+    """
+    if board.now < task.not_before:
+        return True
+    return any(
+        board.now < until and not board.pool.has_contacted(runner_id)
+        for runner_id, until in task.possible_runs.items()
+    )
+
+
 def startable_work(job: ScheduledJob, board: InstanceBoard) -> float:
     """Return the work of the tasks of a job that could start now given capacity.
 
@@ -74,7 +88,7 @@
     return sum(
         steps[task.step].demand.millicores * steps[task.step].estimate_ms
         for task in job.waiting
-        if task.not_before <= board.now
+        if not is_deferred(task, board)
     )
 
 
--- a/sassafrasloft/scheduling/task_placer.py
+++ b/sassafrasloft/scheduling/task_placer.py
@@ -28,6 +28,7 @@
 from sassafrasloft.scheduling.ordering import JobOrder
 from sassafrasloft.scheduling.placement import SLOWNESS_LIMIT, Placement
 from sassafrasloft.scheduling.predecessor_runs import (
+    is_deferred,
     may_start,
     predecessor_runs_possible,
     startable_work,
@@ -279,7 +280,7 @@
             if task.name in board.pool.orphans:
                 self._lifecycle.adopt_if_running(job, task, board)
                 continue
-            if board.now < task.not_before:
+            if job.has_deferred_tasks and is_deferred(task, board):
                 continue
             if not _may_start_now(task, board):
                 continue
--- a/sassafrasloft/scheduling/tests/test_handovers.py
+++ b/sassafrasloft/scheduling/tests/test_handovers.py
@@ -6,11 +6,13 @@
 from sassafrasloft.instance.messages import (
     Handover,
     JobProgress,
+    PossibleRun,
     SubmitJob,
     UnseenRunner,
 )
 from sassafrasloft.leadership.followers import handover_message
 from sassafrasloft.runs.runner_list import SWEEP_INTERVAL_MS
+from sassafrasloft.scheduling import TaskState
 from sassafrasloft.scheduling.predecessor_runs import predecessor_runs_possible
 from sassafrasloft.standins.lease_runner import StandinTask
 from sassafrasloft.testing.fleet.tests.situations import (
@@ -79,6 +81,10 @@
     return next((one for one in message.jobs if one.job_id == job_id), None)
 
 
+def possible_runs(world):
+    return {one.task: one for one in report_of(world).possible_runs}
+
+
 def test_report_passes_on_what_was_inherited_of_a_job_that_did_not_come(successor):
     """Guards against a chain of schedulers that forgets a job of the first one."""
     hand_over(successor, JobProgress(REQUEST.job_id, (FIRST,), (SECOND,)))
@@ -94,11 +100,42 @@
     """Guards against a chain that forgets, or defers for ever, what it has not seen."""
     hand_over(successor, JobProgress(REQUEST.job_id, (), (SECOND,)))
     assert resubmit(successor) == [FIRST]
-    (run,) = report_of(successor).possible_runs
-    assert run.task == SECOND
+    run = possible_runs(successor)[SECOND]
     assert run.remaining_ms <= LISTED_RUN_MS - 50 + SWEEP_INTERVAL_MS
-    successor.run(LISTED_RUN_MS)
-    assert report_of(successor) is None or not report_of(successor).possible_runs
+    task = board_of(successor).jobs.open[REQUEST.job_id].tasks[SECOND]
+    successor.run(LISTED_RUN_MS + IDLE_POLL_MS)
+    assert task.run is not None or task.state is TaskState.DONE
+
+
+@pytest.mark.parametrize("reachable", [True, False])
+def test_task_waits_for_reported_run_only_while_its_runner_is_unseen(
+    successor, reachable
+):
+    """Guards against waits for a lease though the runner shows that no run is left."""
+    runner = board_of(successor).pool.runners["runner-north-0"]
+    run = PossibleRun(SECOND, runner.runner_id, LISTED_RUN_MS)
+    if not reachable:
+        runner.contacted = False
+        successor.cut = lambda one, other: runner.runner_id in (one, other)
+    hand_over(successor, JobProgress(REQUEST.job_id, (), (SECOND,), (run,)))
+    assert resubmit(successor) == ([FIRST, SECOND] if reachable else [FIRST])
+    passed_on = possible_runs(successor)[SECOND]
+    assert reachable or passed_on.runner_id == runner.runner_id
+
+
+def test_task_that_its_runner_still_lists_is_adopted(successor):
+    """Guards against a second run by a wrong use of the runner's list."""
+    board = board_of(successor)
+    job = submit_order(successor, 5, follower_names(successor)[-1])
+    successor.run(50)
+    name, other = job.job.job_id, scheduler_of(successor)
+    successor.stop(other)
+    while scheduler_of(successor) == other:
+        successor.run(5)
+    successor.run(30)
+    board = board_of(successor)
+    tasks = board.jobs.open[name].tasks.values()
+    assert all(task.run.adopted for task in tasks)
 
 
 def test_report_lists_runs_of_jobs_that_were_not_submitted_yet():
--- a/sassafrasloft/testing/fleet/tests/test_predecessor_runs.py
+++ b/sassafrasloft/testing/fleet/tests/test_predecessor_runs.py
@@ -32,13 +32,13 @@
     return jobs
 
 
-def submit_each_15_ms(world, first, count, submit, instances):
+def submit_each(world, first, count, submit, instances, gap_ms=15):
     """Submit jobs to some instances in turn."""
     jobs = []
     for number in range(count):
         instance = instances[number % len(instances)]
         jobs.append(submit(world, first + number, instance))
-        world.run(15)
+        world.run(gap_ms)
     return jobs
 
 
@@ -73,10 +73,10 @@
     instances = sorted(follower_names(world))[-2:]
     jobs = []
     for first in (1, 41):
-        jobs += submit_each_15_ms(world, first, 20, submit_order, instances)
+        jobs += submit_each(world, first, 20, submit_order, instances)
         world.kill(scheduler_of(world))
         world.run(TAKEOVER_MS)
-        jobs += submit_each_15_ms(world, first + 20, 20, submit_lookup, instances)
+        jobs += submit_each(world, first + 20, 20, submit_lookup, instances)
     world.run(3_000)
     assert all(job.answers for job in jobs)
 
--- a/sassafrasloft/testing/fleet/tests/test_takeover_chains.py
+++ b/sassafrasloft/testing/fleet/tests/test_takeover_chains.py
@@ -4,6 +4,7 @@
 
 from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.leadership import Role
+from sassafrasloft.testing.fleet.processor import WorkCosts
 from sassafrasloft.testing.fleet.tests.situations import (
     follower_names,
     is_completed,
@@ -16,7 +17,7 @@
 from sassafrasloft.testing.fleet.tests.test_partitions import isolate_zone
 from sassafrasloft.testing.fleet.tests.test_predecessor_runs import (
     busy_runners,
-    submit_each_15_ms,
+    submit_each,
     submit_orders,
 )
 
@@ -128,11 +129,11 @@
     for round_number in range(3):
         instances = [one for one in follower_names(world) if world.instances[one].ready]
         first = 1 + 100 * round_number
-        jobs += submit_each_15_ms(world, first, 30, submit_order, instances)
+        jobs += submit_each(world, first, 30, submit_order, instances)
         cut_runners(world, busy_runners(world)[::6])
         world.run(50)
         change_schedulers(world, (stop, stop), 150)
-        jobs += submit_each_15_ms(world, first + 50, 20, submit_lookup, instances)
+        jobs += submit_each(world, first + 50, 20, submit_lookup, instances)
         world.run(CUT_MS)
         heal(world)
         world.run(1_000)
@@ -144,10 +145,10 @@
     """Guards against jobs that wait for leases though all runs are known."""
     world = settled_world()
     instances = sorted(follower_names(world))[-2:]
-    jobs = submit_each_15_ms(world, 1, 10, submit_lookup, instances)
+    jobs = submit_each(world, 1, 10, submit_lookup, instances)
     orders = [submit_order(world, 50 + n, instances[n % 2]) for n in range(4)]
     change_schedulers(world, (stop, stop, stop), gap_ms)
-    jobs += submit_each_15_ms(world, 20, 10, submit_lookup, instances)
+    jobs += submit_each(world, 20, 10, submit_lookup, instances)
     world.run(1_500)
     assert on_time(jobs) == len(jobs)
     assert all(is_completed(job) for job in orders)
@@ -171,3 +172,22 @@
     change_schedulers(world, (stop,), 0)
     world.run(400)
     assert on_time(jobs) == len(jobs)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_planned_restart_under_load_lets_no_job_wait_for_a_lease(seed):
+    """Guards against jobs that wait for leases of runs that have ended.
+
+    Load pattern: short tasks end all the time while the report of the stopping
+    scheduler, which lists them as running, is on its way.
+    """
+    world = settled_world(runners=8, seed=seed, costs=WorkCosts())
+    instances = sorted(follower_names(world))[-2:]
+    jobs = []
+    for first in (1, 101, 201):
+        jobs += submit_each(world, first, 40, submit_lookup, instances, gap_ms=15)
+        world.stop(scheduler_of(world))
+        jobs += submit_each(world, first + 40, 40, submit_lookup, instances, gap_ms=15)
+    world.run(1_500)
+    assert all(is_completed(job) for job in jobs)
+    assert max(job.waited_ms for job in jobs) < Tuning().lease_ms
