Count tasks as done that complete during a takeover

What callers saw: a job whose tasks ended while the scheduler was replaced ran a second time and was late, or got no answer in time.

Cause: a runner lists ends until they are acknowledged, so that a new scheduler gets those that its predecessor has not acted on. It dropped them, as it knew no such run: either the run had ended before the first poll, or it was an orphaned run of a job that had not been submitted again.

Change: such an end, if the task is done, is applied to the open job, or kept with what was inherited of the job until it is submitted. New counter earlier_runs_done.

--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -314,6 +314,13 @@
     run: Run
 
 
+@attrs.frozen
+class EarlierRunDone(Event):
+    """A runner lists that a run of an earlier scheduler has completed its task."""
+
+    task: str
+
+
 @attrs.frozen
 class RunFinished(Event):
     """A run is known to have ended, or never to have started.
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -5,6 +5,7 @@
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
     ConfigurationAdopted,
+    EarlierRunDone,
     LeadershipGained,
     LeadershipLost,
     RunAccepted,
@@ -19,6 +20,7 @@
 from sassafrasloft.runs.contacts import MIN_CONTACTS_PER_SWEEP
 from sassafrasloft.runs.orders import (
     CommandOutcome,
+    EndedRun,
     PollReply,
     RunEnd,
     StartReply,
@@ -218,6 +220,20 @@
             if run is not None and run.number == ended.number:
                 health.record_run_end(view, run, ended.end, board)
                 self._finish_run(view, run, ended.end, "reported by the runner", board)
+            else:
+                self._record_unknown_end(view, ended, board)
+
+    @staticmethod
+    def _record_unknown_end(
+        view: RunnerView, ended: EndedRun, board: InstanceBoard
+    ) -> None:
+        """Record the end of a run on a runner that did not list it as running.
+
+        It ended before the first poll, and its scheduler may not know of it. Another
+        run of the task, perhaps of the same number, may go on elsewhere.
+        """
+        if ended.end is RunEnd.DONE and polling.in_takeover_grace(view, board):
+            board.post(EarlierRunDone(ended.task))
 
     def _reconcile_running(
         self, view: RunnerView, reply: PollReply, call_id: int, board: InstanceBoard
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -5,6 +5,7 @@
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.controllers import CONTROLLERS
 from sassafrasloft.instance.events import (
+    EarlierRunDone,
     FollowerLost,
     LeadershipGained,
     LeadershipLost,
@@ -52,6 +53,7 @@
     """
 
     handles = (
+        EarlierRunDone,
         MessageForScheduler,
         FollowerLost,
         RunAccepted,
@@ -85,6 +87,8 @@
             self._lifecycle.handle_message(event.stream_id, event.message, board)
         elif isinstance(event, RunFinished):
             self._handle_finished_run(event, board)
+        elif isinstance(event, EarlierRunDone):
+            self._lifecycle.record_earlier_end(event.task, board)
         elif isinstance(event, RunAccepted):
             self._handle_accepted_run(event.run, board)
         elif isinstance(event, RunOverdue):
@@ -155,6 +159,8 @@
         board.jobs.changed = True
         job_and_task = self._find_job_and_task(event.run, board)
         if job_and_task is None:
+            if event.run.adopted and event.end is RunEnd.DONE:
+                self._lifecycle.record_earlier_end(event.run.task, board)
             return
         job, task = job_and_task
         run = event.run
--- a/sassafrasloft/scheduling/handovers.py
+++ b/sassafrasloft/scheduling/handovers.py
@@ -153,12 +153,18 @@
         if job is not None:
             of_open_jobs.append((job, reported))
         else:
-            known = jobs.inherited.get(progress.job_id, _NOTHING_INHERITED)
-            jobs.inherited[progress.job_id] = known.merge(reported)
-            jobs.inherited_at = board.now
+            record_inherited(progress.job_id, reported, board)
     return of_open_jobs
 
 
+def record_inherited(job_id: str, reported: InheritedJob, board: InstanceBoard) -> None:
+    """Keep what is reported of a job until the job is submitted here."""
+    jobs = board.jobs
+    known = jobs.inherited.get(job_id, _NOTHING_INHERITED)
+    jobs.inherited[job_id] = known.merge(reported)
+    jobs.inherited_at = board.now
+
+
 def release_deferred_tasks(message: Handover, board: InstanceBoard) -> None:
     """Let tasks start that were deferred until the holder of a right had reported.
 
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -248,6 +248,17 @@
                     self.end(job, JobOutcome.COMPLETED, "inherited", board)
                     return
 
+    def record_earlier_end(self, task: str, board: InstanceBoard) -> None:
+        """Record that a run of an earlier scheduler has completed a task."""
+        board.count("earlier_runs_done")
+        ended = InheritedJob(done=(task,))
+        job_id = task.partition(".")[0]
+        job = board.jobs.open.get(job_id)
+        if job is not None:
+            self._apply_inherited(job, ended, board)
+        elif job_id not in board.jobs.answers:
+            handovers.record_inherited(job_id, ended, board)
+
     def adopt_if_running(
         self, job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
     ) -> None:
--- a/sassafrasloft/testing/fleet/tests/test_takeover.py
+++ b/sassafrasloft/testing/fleet/tests/test_takeover.py
@@ -16,6 +16,8 @@
 from sassafrasloft.testing.fleet.tests.test_partitions import isolate_zone, zone_of
 from sassafrasloft.testing.fleet.world import simple_job
 
+ORDER_TASK_MS = 900
+
 
 def schedulers_outside(world, zone):
     return [
@@ -173,3 +175,19 @@
     world.run(1_500)
     assert scheduler_of(world) in zones
     assert all(one.ready for one in world.instances.values())
+
+
+@pytest.mark.parametrize("before_end_ms", [5, 15, 25])
+def test_task_that_completes_during_a_takeover_is_not_run_again(before_end_ms):
+    """Guards against a second run of tasks that end before the first poll.
+
+    Their runners list them as done, but the new scheduler did not know their runs.
+    """
+    world = settled_world()
+    instance = max(name for name in world.instances if name != scheduler_of(world))
+    job = submit_order(world, 1, instance)
+    world.run(ORDER_TASK_MS - before_end_ms)
+    world.kill(scheduler_of(world))
+    world.run(500)
+    assert is_completed(job)
+    assert world.audit.starts[job.job.job_id] == 2
