--- a/sassafrasloft/testing/fleet/tests/test_takeover_chains.py
+++ b/sassafrasloft/testing/fleet/tests/test_takeover_chains.py
@@ -191,3 +191,19 @@
     world.run(1_500)
     assert all(is_completed(job) for job in jobs)
     assert max(job.waited_ms for job in jobs) < Tuning().lease_ms
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_planned_restart_under_load_starts_each_task_once(seed):
+    """Guards against jobs that run again as their answers are lost at a restart.
+
+    An instance that leaves the stopping scheduler drops answers that are under way.
+    """
+    world = settled_world(runners=8, seed=seed, costs=WorkCosts())
+    instances = sorted(follower_names(world))[-2:]
+    for first in (1, 101, 201):
+        submit_each(world, first, 40, submit_lookup, instances, gap_ms=15)
+        world.stop(scheduler_of(world))
+        submit_each(world, first + 40, 40, submit_lookup, instances, gap_ms=15)
+    world.run(1_500)
+    assert set(world.audit.starts.values()) == {4}
