Report jobs that just ended to the next scheduler

Cause: instances learn from the store that leadership has moved and leave the stopping scheduler while answers of jobs that just completed are under way to them. They submit these jobs to the next scheduler, to which the report of the last one named no run of them, so that it started all tasks again.

Change: the report lists the jobs that completed or failed within the last second; the next scheduler answers them from its kept answers, or ends them if they have been submitted before the report arrived. It passes them on.

New tests of the report in test_handovers.py.

Also tests for four changes that no test noticed, each seen to fail on a copy with that change: a complete report of an earlier holder, the later of two reported ends, a rejection as unhealthy as a confirmation of the token, and a connection attempt that outlives its call.

--- a/sassafrasloft/event_loop/tests/test_http.py
+++ b/sassafrasloft/event_loop/tests/test_http.py
@@ -315,3 +315,25 @@
             assert result is CallFailure.REFUSED
 
     asyncio.run(asyncio.wait_for(scenario(), 5))
+
+
+def test_connection_attempt_ends_with_its_call():
+    """Guards against attempts that go on after their calls, and use up all slots.
+
+    The listener accepts nothing and its queue is full, so that packets which open a
+    connection are dropped.
+    """
+
+    async def scenario():
+        with socket.socket() as listener, socket.socket() as first:
+            listener.bind((HOST, 0))
+            listener.listen(0)
+            first.connect(listener.getsockname())
+            client = HttpClient(1)
+            address = f"{HOST}:{listener.getsockname()[1]}"
+            for _ in range(3):
+                assert await call(client, address, 30) is CallFailure.REFUSED
+            await asyncio.sleep(0)
+            assert asyncio.all_tasks() == {asyncio.current_task()}
+
+    asyncio.run(scenario())
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -378,6 +378,14 @@
     remaining_ms: Milliseconds
 
 
+@attrs.frozen
+class EndedJob:
+    """A job that ended recently; its answer may not have reached its instance."""
+
+    job_id: str
+    outcome: str
+
+
 @register_message("handover")
 @attrs.frozen
 class Handover(Message):
@@ -386,7 +394,8 @@
     `revision` is its leadership revision. If it was not `acting`, no other runs were
     started under that leadership. Apart from `unseen_runners`, the message covers the
     runs of earlier schedulers as well; if this is None, as from earlier releases, it
-    covers those of no runner.
+    covers those of no runner. `ended_jobs` are the jobs that completed or failed
+    recently; earlier releases send none.
     """
 
     revision: int
@@ -394,6 +403,7 @@
     zone_epochs: tuple[ZoneEpoch, ...]
     jobs: tuple[JobProgress, ...]
     unseen_runners: tuple[UnseenRunner, ...] | None = None
+    ended_jobs: tuple[EndedJob, ...] = ()
 
 
 @register_message("moved")
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -20,7 +20,11 @@
     PeerStream,
     Role,
 )
-from sassafrasloft.scheduling.handovers import report_jobs, report_unseen_runners
+from sassafrasloft.scheduling.handovers import (
+    report_ended_jobs,
+    report_jobs,
+    report_unseen_runners,
+)
 
 MEMBERS_PER_HEARTBEAT = 1_000
 """Entries of member lists that are sent in one heartbeat period, at least one list: of
@@ -290,4 +294,5 @@
         leadership.used_zone_epochs(),
         report_jobs(board),
         report_unseen_runners(board),
+        report_ended_jobs(board),
     )
--- a/sassafrasloft/runs/tests/test_late_answers.py
+++ b/sassafrasloft/runs/tests/test_late_answers.py
@@ -1,5 +1,6 @@
 """Tests of how a delayed scheduler judges runners that do not reply."""
 
+import attrs
 import pytest
 
 from sassafrasloft.instance.commands import CallRunner
@@ -58,3 +59,19 @@
     board.leadership.heartbeat_delay_ms = late_ms
     _, _, command = stop_sent(board)
     assert command.timeout_ms == board.tuning.order_timeout_ms + longer_ms
+
+
+@pytest.mark.parametrize(
+    ("outcome", "confirms"),
+    [(CommandOutcome.UNHEALTHY, False), (CommandOutcome.SUPERSEDED, True)],
+)
+def test_only_a_runner_that_has_compared_the_token_confirms_it(
+    board, outcome, confirms
+):
+    """Guards against taking a rejection for proof that no other scheduler is active."""
+    view, call, _ = stop_sent(board)
+    token = board.leadership.token_for(view.entry.zone)
+    call = attrs.evolve(call, token=token)
+    view.no_contact_since = board.now
+    record_reply(view, RunnerReplied(1, StartReply(outcome)), call, board)
+    assert (view.no_contact_since == -1) is confirms
--- a/sassafrasloft/scheduling/handovers.py
+++ b/sassafrasloft/scheduling/handovers.py
@@ -7,18 +7,28 @@
 
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
-from sassafrasloft.instance.messages import Handover, JobProgress, UnseenRunner
+from sassafrasloft.instance.messages import (
+    EndedJob,
+    Handover,
+    JobProgress,
+    UnseenRunner,
+)
 from sassafrasloft.scheduling.inherited_jobs import (
     InheritedJob,
     PossibleRuns,
     remaining_runs,
 )
-from sassafrasloft.scheduling.jobs import ScheduledJob, TaskState
+from sassafrasloft.scheduling.jobs import JobOutcome, ScheduledJob, TaskState
 from sassafrasloft.scheduling.predecessor_runs import (
     has_only_known_runs,
     unseen_runners,
 )
 
+ENDED_JOBS_MS = 1_000
+"""Jobs that ended within this time are reported. Their answers may be under way to
+instances that have already left the scheduler and submit the jobs again."""
+FINAL_OUTCOMES = frozenset({JobOutcome.COMPLETED, JobOutcome.FAILED})
+"""Outcomes after which a job is not started again."""
 _NOTHING_INHERITED = InheritedJob()
 
 
@@ -44,6 +54,16 @@
     )
 
 
+def report_ended_jobs(board: InstanceBoard) -> tuple[EndedJob, ...]:
+    """Return the jobs whose answers may not have reached their instances."""
+    oldest = board.now - ENDED_JOBS_MS
+    return tuple(
+        EndedJob(job_id, outcome.value)
+        for job_id, (outcome, ended_at) in board.jobs.answers.items()
+        if ended_at >= oldest and outcome in FINAL_OUTCOMES
+    )
+
+
 def report_jobs(board: InstanceBoard) -> tuple[JobProgress, ...]:
     """Return the state of jobs and runs that the next scheduler needs.
 
@@ -129,6 +149,7 @@
         acting=message.acting,
         predecessor=is_direct,
         jobs=len(message.jobs),
+        ended_jobs=len(message.ended_jobs),
         unseen_runners=-1 if unseen is None else len(unseen),
     )
     if is_direct and unseen is not None:
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -11,6 +11,7 @@
 )
 from sassafrasloft.instance.messages import (
     CancelJob,
+    EndedJob,
     Handover,
     JobAnswer,
     JobState,
@@ -95,12 +96,43 @@
 
         Some of these jobs may have been submitted here already.
         """
+        for ended in message.ended_jobs:
+            self._record_ended_job(ended, board)
         reported = handovers.record_handover(message, board)
         handovers.release_deferred_tasks(message, board)
         for job, inherited in reported:
-            self._apply_inherited(job, inherited, board)
+            if job.job_id in board.jobs.open:
+                self._apply_inherited(job, inherited, board)
         board.jobs.changed = True
 
+    def _record_ended_job(self, ended: EndedJob, board: InstanceBoard) -> None:
+        """Record the outcome of a job that another scheduler reports as ended.
+
+        If its answer was lost, the job has been submitted here or will be.
+        """
+        if ended.outcome not in handovers.FINAL_OUTCOMES:
+            return
+        outcome = JobOutcome(ended.outcome)
+        board.count("ended_jobs_inherited")
+        job = board.jobs.open.get(ended.job_id)
+        if job is None:
+            board.jobs.answers.setdefault(ended.job_id, (outcome, board.now))
+            return
+        if outcome is JobOutcome.COMPLETED:
+            for task in job.tasks.values():
+                self._finish_reported_task(job, task, board)
+        self.end(job, outcome, "ended at another scheduler", board)
+
+    @staticmethod
+    def _finish_reported_task(
+        job: ScheduledJob, task: ScheduledTask, board: InstanceBoard
+    ) -> None:
+        if task.state is TaskState.DONE:
+            return
+        if task.run is not None:
+            board.post(RunStopRequested(task.run))
+        job.finish_task(task)
+
     def _send(self, stream_id: int, message: Message, board: InstanceBoard) -> None:
         if stream_id == OWN_INSTANCE:
             board.post(MessageForGateway(message))
@@ -125,7 +157,7 @@
             known.record_decision(board.now, "handed_in_again")
             return
         kept = board.jobs.answers.get(job_id)
-        if kept is not None and kept[0] in (JobOutcome.COMPLETED, JobOutcome.FAILED):
+        if kept is not None and kept[0] in handovers.FINAL_OUTCOMES:
             self._send(stream_id, JobAnswer(job_id, kept[0].value, "kept"), board)
             return
         route = _route_of(message, board)
--- a/sassafrasloft/scheduling/tests/test_handovers.py
+++ b/sassafrasloft/scheduling/tests/test_handovers.py
@@ -4,6 +4,7 @@
 
 from sassafrasloft.instance.events import MessageReceived
 from sassafrasloft.instance.messages import (
+    EndedJob,
     Handover,
     JobProgress,
     PossibleRun,
@@ -12,7 +13,9 @@
 )
 from sassafrasloft.leadership.followers import handover_message
 from sassafrasloft.runs.runner_list import SWEEP_INTERVAL_MS
-from sassafrasloft.scheduling import TaskState
+from sassafrasloft.scheduling import JobOutcome, TaskState
+from sassafrasloft.scheduling.handovers import ENDED_JOBS_MS
+from sassafrasloft.scheduling.inherited_jobs import later_ends
 from sassafrasloft.scheduling.predecessor_runs import predecessor_runs_possible
 from sassafrasloft.standins.lease_runner import StandinTask
 from sassafrasloft.testing.fleet.tests.situations import (
@@ -234,3 +237,60 @@
         hand_over(successor, older=1, unseen=unseen)
         successor.run(20)
     assert started_tasks(successor) == ([] if unseen else [FIRST, SECOND])
+
+
+def hand_over_ended(world, outcome):
+    ended = EndedJob(REQUEST.job_id, outcome)
+    revision = board_of(world).leadership.replaced_revision
+    tell(world, Handover(revision, False, (), (), (), (ended,)))
+
+
+@pytest.mark.parametrize("outcome", ["completed", "failed"])
+@pytest.mark.parametrize("resubmitted_first", [False, True])
+def test_job_whose_answer_was_lost_at_a_handover_is_answered(
+    successor, outcome, resubmitted_first
+):
+    """Guards against a second run of a job that has ended at the last scheduler."""
+    if resubmitted_first:
+        assert resubmit(successor) == [FIRST, SECOND]
+        hand_over_ended(successor, outcome)
+    else:
+        hand_over_ended(successor, outcome)
+        submit = SubmitJob(REQUEST, CONFIRM.name, 10, 3_000, True, 0, 0)
+        tell(successor, submit)
+    board = board_of(successor)
+    assert REQUEST.job_id not in board.jobs.open
+    assert board.jobs.answers[REQUEST.job_id][0] is JobOutcome(outcome)
+    successor.run(100)
+    assert not board.pool.live_runs
+
+
+@pytest.mark.parametrize("outcome", ["cancelled", "refused", "unheard of"])
+def test_reported_outcome_that_is_not_final_ends_no_job(successor, outcome):
+    """Guards against an answer that its job did not have."""
+    hand_over_ended(successor, outcome)
+    assert resubmit(successor) == [FIRST, SECOND]
+
+
+def test_ended_jobs_are_reported_for_a_bounded_time(successor):
+    """Guards against reports that grow with the time that a scheduler was active."""
+    hand_over_ended(successor, "completed")
+    board = board_of(successor)
+    ended = (EndedJob(REQUEST.job_id, "completed"),)
+    assert handover_message(board).ended_jobs == ended
+    board.now += ENDED_JOBS_MS + 1
+    assert handover_message(board).ended_jobs == ()
+
+
+def test_complete_report_of_an_earlier_holder_starts_no_task(successor):
+    """Guards against trust in a report that does not cover the direct predecessor."""
+    hand_over(successor, unseen=UNSEEN)
+    hand_over(successor, JobProgress(REQUEST.job_id, (), (), (), True), older=1)
+    assert resubmit(successor) == []
+
+
+@pytest.mark.parametrize("ends", [(5, 10), (10, 5)])
+def test_possible_run_is_assumed_until_the_later_of_two_reported_ends(ends):
+    """Guards against an earlier end because its report came last."""
+    one, other = ({"runner": until} for until in ends)
+    assert later_ends(one, other) == {"runner": 10}
