Let operators evacuate an availability zone

Change: each instance reads the request by the watch that it has open anyway; followers report it to their scheduler, which the store may not reach. Records carry the revision of the store at their change, and the newest applies. Runners in evacuated zones take no part in placement and admission; jobs that only they could serve are rejected at once as "not run".

--- a/sassafrasloft/event_loop/metrics_page.py
+++ b/sassafrasloft/event_loop/metrics_page.py
@@ -45,6 +45,10 @@
         registry.set_gauge("open_jobs", len(board.jobs.open))
         registry.set_gauge("runners_known", len(board.pool.runners))
         registry.set_gauge("runs_live", len(board.pool.live_runs))
+        pool = board.pool
+        evacuated = pool.evacuated_zones
+        registry.set_gauge("evacuated_zones", len(evacuated))
+        registry.set_gauge("runs_in_evacuated_zones", pool.runs_in(evacuated))
         registry.set_gauge("scheduling", int(board.pool.active))
         registry.set_gauge("configuration_version", board.configuration.current.version)
         usage = resource.getrusage(resource.RUSAGE_SELF)
--- a/sassafrasloft/instance/assembly.py
+++ b/sassafrasloft/instance/assembly.py
@@ -12,6 +12,9 @@
 from sassafrasloft.invariants import InstanceInvariant, InvariantChecker
 from sassafrasloft.leadership import controller as _leadership  # noqa: F401 - registers
 from sassafrasloft.metadata import controller as _metadata  # noqa: F401 - registers
+from sassafrasloft.metadata import (
+    evacuation_controller as _evacuations,  # noqa: F401 - registers
+)
 from sassafrasloft.metadata import exchange as _exchange  # noqa: F401 - registers
 from sassafrasloft.metadata.adoption import StoreDocuments
 from sassafrasloft.runs import controller as _runs  # noqa: F401 - registers
--- a/sassafrasloft/instance/board.py
+++ b/sassafrasloft/instance/board.py
@@ -13,6 +13,7 @@
 from sassafrasloft.invariants import InvariantChecker
 from sassafrasloft.leadership.state import LeadershipState
 from sassafrasloft.metadata.adoption import ConfigurationState, StoreDocuments
+from sassafrasloft.metadata.evacuations import EvacuationState
 from sassafrasloft.runs import CrashHistory, RunnerPool
 from sassafrasloft.scheduling import JobTable
 from sassafrasloft.scheduling.estimates import DurationEstimates
@@ -67,6 +68,7 @@
         self.documents = documents
         auditor.on_violation = self._log_violation
         self.configuration = ConfigurationState()
+        self.evacuations = EvacuationState()
         self.leadership = LeadershipState()
         self.pool = RunnerPool()
         self.crashes = CrashHistory()
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -6,6 +6,7 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.messages import Message
 from sassafrasloft.metadata import StoreReply
+from sassafrasloft.metadata.evacuations import ZoneEvacuation
 from sassafrasloft.runs import Run, RunEnd, RunnerEntry, RunnerReply, TaskCrashes
 from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, ServiceConfiguration
@@ -168,6 +169,33 @@
     compressed: bytes
 
 
+@attrs.frozen
+class EvacuationsRead(Event):
+    """Evacuated zones were read from the store.
+
+    Parameters
+    ----------
+    records : list of ZoneEvacuation
+    list_revision : int
+        Revision for which the records are all evacuated zones; -1 if they are changes.
+    """
+
+    records: list[ZoneEvacuation]
+    list_revision: int = -1
+
+
+@attrs.frozen
+class EvacuationsReported(Event):
+    """Another instance reported what it knows of evacuated zones."""
+
+    records: tuple[ZoneEvacuation, ...]
+
+
+@attrs.frozen
+class EvacuationsChanged(Event):
+    """Zones were evacuated or given back; `board.evacuations` has them all."""
+
+
 @attrs.frozen
 class RunnersOffered(Event):
     """Another instance reported runners; their entries may have expired."""
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from sassafrasloft.clock import Milliseconds
+from sassafrasloft.metadata.evacuations import ZoneEvacuation
 from sassafrasloft.runs.crash_history import TaskCrashes
 from sassafrasloft.runs.runners import RunnerEntry
 from sassafrasloft.workload import JobRequest, Route, from_positional, to_positional
@@ -120,6 +121,8 @@
     `acting` is set if it schedules without a lease from the store; `zone` may then name
     the only availability zone that it schedules for. `active_ms` is how long it has
     been scheduling, and `runners_known` is the number of runners that it knows.
+    `reads_evacuations` is false from earlier releases, which do not know the message
+    `EvacuationReport`.
     """
 
     name: str
@@ -128,6 +131,15 @@
     acting: bool
     active_ms: Milliseconds = 0
     runners_known: int = 0
+    reads_evacuations: bool = False
+
+
+@register_message("evacuations")
+@attrs.frozen
+class EvacuationReport(Message):
+    """What a follower knows of evacuated zones."""
+
+    records: tuple[ZoneEvacuation, ...]
 
 
 @register_message("configuration")
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -11,6 +11,7 @@
     ConfigurationReceived,
     ConfigurationRequested,
     CrashCountsReceived,
+    EvacuationsReported,
     MessageForGateway,
     MessageForScheduler,
     MessageReceived,
@@ -30,6 +31,7 @@
     ConfigurationOffer,
     ConfigurationRequest,
     CrashCounts,
+    EvacuationReport,
     Handover,
     Heartbeat,
     Hello,
@@ -242,6 +244,8 @@
             board.post(ConfigurationReceived(message.document))
         elif isinstance(message, CrashCounts):
             board.post(CrashCountsReceived(message.counts))
+        elif isinstance(message, EvacuationReport):
+            board.post(EvacuationsReported(message.records))
         elif isinstance(message, RunnersOffer):
             board.post(RunnersOffered(message.entries))
         elif isinstance(message, Hello):
@@ -318,6 +322,7 @@
         leadership.scheduler_delay_ms = 0
         leadership.scheduler_configuration_version = 0
         leadership.scheduler_is_acting = message.acting
+        leadership.scheduler_reads_evacuations = message.reads_evacuations
         leadership.scheduler_address = stream.address
         leadership.scheduler_zone = message.zone
         leadership.base_token = message.token
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -116,6 +116,7 @@
                     leadership.role is Role.ACTING,
                     board.now - board.pool.activated_at,
                     len(board.pool.entries),
+                    reads_evacuations=True,
                 ),
             )
         )
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -139,6 +139,8 @@
     """Highest load that a scheduler is known to have sustained, in tasks per second."""
     scheduler_configuration_version: int = 0
     """Version of the configuration that the current scheduler reported last."""
+    scheduler_reads_evacuations: bool = False
+    """Whether the scheduler knows the message `EvacuationReport`."""
     scheduler_is_acting: bool = False
     """Whether the scheduler is an acting scheduler."""
     scheduler_address: str = ""
--- a/sassafrasloft/metadata/adoption.py
+++ b/sassafrasloft/metadata/adoption.py
@@ -18,6 +18,8 @@
     configuration_key: str
     right_key: str
     runners_prefix: str
+    evacuations_prefix: str
+    """Prefix of the keys of evacuated zones; the rest of a key is the zone."""
 
     def read_configuration(self, value: bytes) -> Result[ServiceConfiguration, str]:
         """Return the configuration, or the reason why it is invalid."""
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -10,12 +10,14 @@
 from sassafrasloft.instance.events import (
     ConfigurationAdopted,
     ConfigurationOffered,
+    EvacuationsRead,
     LeadershipGained,
     RunnersListed,
     StoreItemChanged,
     StoreReplied,
 )
 from sassafrasloft.invariants import InstanceInvariant
+from sassafrasloft.metadata.evacuations import ZoneEvacuation
 from sassafrasloft.metadata.operations import (
     Item,
     ListedItems,
@@ -132,6 +134,9 @@
                 self._known_revision = max(self._known_revision, reply.revision)
                 for item in reply.changes:
                     self._apply_item(item, board)
+                zones = _evacuations(reply.changes, reply.revision, board)
+                if zones:
+                    board.post(EvacuationsRead(zones))
         elif isinstance(reply, ListedItems):
             self._apply_listed_items(reply, board)
         board.configuration.confirmed_at = board.now
@@ -141,6 +146,8 @@
         self._known_revision = reply.revision
         for item in reply.items:
             self._apply_item(item, board)
+        zones = _evacuations(reply.items, reply.revision, board)
+        board.post(EvacuationsRead(zones, reply.revision))
         right_key = board.documents.right_key
         if all(item.key != right_key for item in reply.items):
             board.post(StoreItemChanged(right_key, b"", 0))
@@ -272,6 +279,24 @@
         return max(tuning.standby_list_ms, entries // STANDBY_ENTRIES_PER_MS)
 
 
+def _evacuations(
+    items: tuple[Item, ...], revision: int, board: InstanceBoard
+) -> list[ZoneEvacuation]:
+    """Return what items say of evacuated zones.
+
+    The last change of a zone counts. Deletions have no revision of their own, so that
+    they take that of the reply, in which no later change is missing.
+    """
+    prefix = board.documents.evacuations_prefix
+    newest = {item.key: item for item in items if item.key.startswith(prefix)}
+    return [
+        ZoneEvacuation(
+            key.removeprefix(prefix), item.revision or revision, not item.deleted
+        )
+        for key, item in newest.items()
+    ]
+
+
 def _transfer_limits(board: InstanceBoard) -> TransferLimits:
     """Return the limits for responses whose size has no bound but that of the store.
 
--- /dev/null
+++ b/sassafrasloft/metadata/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is read from the store."""
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -6,6 +6,7 @@
 from sassafrasloft.instance.events import (
     ConfigurationAdopted,
     EarlierRunDone,
+    EvacuationsChanged,
     LeadershipGained,
     LeadershipLost,
     RunAccepted,
@@ -38,6 +39,7 @@
 
     handles = (
         ConfigurationAdopted,
+        EvacuationsChanged,
         LeadershipGained,
         LeadershipLost,
         RunnersListed,
@@ -66,6 +68,9 @@
             board.pool.guarded_services = frozenset(
                 one.name for one in event.configuration.services if one.rejects_overload
             )
+        elif isinstance(event, EvacuationsChanged):
+            board.pool.evacuated_zones = board.evacuations.zones
+            board.pool.changed = True
         elif isinstance(event, RunnersListed):
             self._apply_runner_list(event.entries, board)
         elif isinstance(event, RunnersOffered):
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -1,5 +1,6 @@
 """State of runners and of their runs, as known to the scheduler."""
 
+from collections.abc import Container
 from enum import StrEnum
 
 import attrs
@@ -223,6 +224,8 @@
     guarded_services: frozenset[str] = frozenset()
     """Services whose runners reject what exceeds their capacity. Those of other
     services may start it, also of services that were removed or are not known yet."""
+    evacuated_zones: frozenset[str] = frozenset()
+    """Zones whose runners get no further tasks; their runs go on."""
     changed: bool = False
     """Whether free capacity or health has changed since tasks were last placed."""
 
@@ -232,6 +235,7 @@
             view.contacted
             and not view.fenced
             and not view.entry.draining
+            and view.entry.zone not in self.evacuated_zones
             and view.missing_since < 0
             and view.excluded_until <= now
             and view.unanswered == 0
@@ -246,6 +250,12 @@
         """
         return self.acting or view.entry.service not in self.guarded_services
 
+    def runs_in(self, zones: Container[str]) -> int:
+        """Return the number of runs on the runners of some zones."""
+        return sum(
+            len(view.runs) for view in self.runners.values() if view.entry.zone in zones
+        )
+
     def factor_on(self, view: RunnerView, rack: str) -> float:
         """Return the factor on the duration of a task whose data is in a rack."""
         return 1.0 if not rack or view.entry.is_in(rack) else self.away_factor
--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -11,6 +11,7 @@
 import attrs
 
 from sassafrasloft.instance.board import InstanceBoard
+from sassafrasloft.scheduling.evacuated_runners import has_only_evacuated_runners
 from sassafrasloft.scheduling.jobs import ScheduledJob
 from sassafrasloft.scheduling.lateness import is_late
 from sassafrasloft.scheduling.registry import PolicyRegistry
@@ -105,7 +106,13 @@
     def while_waiting(
         self, job: ScheduledJob, work_ahead: float, board: InstanceBoard
     ) -> Refusal | None:
-        """Refuse a caller retry once new jobs have taken the capacity it waited for."""
+        """Refuse a job that no runner may take any more.
+
+        A caller retry is also refused once new jobs have taken the capacity that it
+        waited for.
+        """
+        if has_only_evacuated_runners(job, board.pool):
+            return _evacuated_refusal(board)
         if not job.is_caller_retry:
             return None
         service_capacity = _service_capacity(job.route.service, board)
@@ -154,9 +161,15 @@
         return Refusal("too many open jobs", retry_after_s(board))
     if board.now >= job.deadline_at:
         return Refusal("the caller's deadline has passed", retry_after_s(board))
+    if has_only_evacuated_runners(job, board.pool):
+        return _evacuated_refusal(board)
     return None
 
 
+def _evacuated_refusal(board: InstanceBoard) -> Refusal:
+    return Refusal("all runners for it are in evacuated zones", retry_after_s(board))
+
+
 def expected_wait_ms(job: ScheduledJob, board: InstanceBoard) -> float:
     """Return how long the runners need for the waiting work ahead of a job."""
     service = job.route.service
--- a/sassafrasloft/scheduling/backlog.py
+++ b/sassafrasloft/scheduling/backlog.py
@@ -51,7 +51,10 @@
     def service_capacity(
         self, service: str, pool: RunnerPool, now: Milliseconds
     ) -> int:
-        """Return the total millicores of a service's runners that answer."""
+        """Return the total millicores of a service's runners that answer.
+
+        Runners in evacuated zones do not count.
+        """
         if now - self._capacity_read_at >= CAPACITY_MAX_AGE_MS:
             self._read_capacity(pool, now)
         return self._capacity_by_service.get(service, 0)
@@ -65,8 +68,8 @@
         self._capacity_read_at = now
         self._capacity_by_service.clear()
         for view in pool.runners.values():
-            if view.unanswered == 0:
-                entry = view.entry
+            entry = view.entry
+            if view.unanswered == 0 and entry.zone not in pool.evacuated_zones:
                 known = self._capacity_by_service.get(entry.service, 0)
                 self._capacity_by_service[entry.service] = (
                     known + entry.capacity.millicores
--- a/sassafrasloft/scheduling/task_placer.py
+++ b/sassafrasloft/scheduling/task_placer.py
@@ -152,9 +152,8 @@
         if job.min_waiting_millicores <= capacity.max_free_millicores:
             self._place_job(job, capacity, board)
         preceding_work = this_pass.preceding_work[service]
-        if job.is_caller_retry and self._refuse_if_unservable(
-            job, preceding_work, board
-        ):
+        may_be_unservable = job.is_caller_retry or board.pool.evacuated_zones
+        if may_be_unservable and self._refuse_if_unservable(job, preceding_work, board):
             return
         refusal_at = self._refusal_time(job, board)
         if board.now >= refusal_at:
--- a/sassafrasloft/testing/fleet/auditing.py
+++ b/sassafrasloft/testing/fleet/auditing.py
@@ -19,6 +19,10 @@
     """A guarantee is violated; the message names it and what was observed."""
 
 
+EVACUATION_MS = 5_000
+"""Time after a zone is evacuated in which tasks may still start there."""
+
+
 @attrs.define(eq=False)
 class FleetAudit:
     """Checks what callers and stand-ins observe, not the state of the instances."""
@@ -35,6 +39,8 @@
     """Jobs that were submitted and have not been refused since."""
     undecided: set[str] = attrs.field(factory=set)
     """Jobs with a submission whose outcome the caller does not know."""
+    evacuated: dict[str, Milliseconds] = attrs.field(factory=dict)
+    """Since when each evacuated zone is one."""
     versions: dict[str, int] = attrs.field(factory=dict)
     """The newest configuration version that a process has used, by incarnation."""
 
@@ -44,7 +50,7 @@
         """Check a run that begins.
 
         Its task may have no other live run, its job may not be refused, and its
-        runner may not be draining.
+        runner may not be draining or in a zone that was evacuated.
         """
         live_runs = self.live_runs.setdefault(run.task, [])
         if live_runs:
@@ -63,6 +69,12 @@
             )
         if runner.entry.draining:
             raise GuaranteeViolated(f"leaving_gets_no_work: {run.task} at {now}")
+        zone = runner.entry.zone
+        if now > self.evacuated.get(zone, now) + EVACUATION_MS:
+            raise GuaranteeViolated(
+                f"evacuated_gets_no_work: {run.task} in {zone} at {now}, "
+                f"evacuated at {self.evacuated[zone]}"
+            )
 
     def record_run_end(
         self, runner: LeaseRunnerStandin, run: StandinRun, end: RunEnd
--- a/sassafrasloft/testing/fleet/documents.py
+++ b/sassafrasloft/testing/fleet/documents.py
@@ -15,6 +15,7 @@
     configuration_key = "operators/configuration"
     right_key = "own/scheduler"
     runners_prefix = "runners/"
+    evacuations_prefix = "operators/evacuated/"
 
     def read_configuration(self, value: bytes) -> Result[ServiceConfiguration, str]:
         """Decode a configuration, or return the error."""
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -132,6 +132,18 @@
         self.store.put(self.documents.configuration_key, value)
         self._notify_watches()
 
+    def evacuate(self, zone: str) -> None:
+        """Evacuate a zone as an operator does."""
+        self.store.put(self.documents.evacuations_prefix + zone, b"{}")
+        self.audit.evacuated[zone] = self.now
+        self._notify_watches()
+
+    def give_back(self, zone: str) -> None:
+        """Allow tasks in an evacuated zone again."""
+        self.store.delete(self.documents.evacuations_prefix + zone)
+        del self.audit.evacuated[zone]
+        self._notify_watches()
+
     def add_runner(
         self, runner_id: str, zone: str, capacity: int, process_started_at_ms: int = 0
     ) -> LeaseRunnerStandin:
