Bound the memory and descriptors that callers can take

Cause: the HTTP parser keeps the bytes of a header until its end, before the callback that counts them; trailers were stored as headers; each body was a list of parts; any number of pipelined requests was parsed and answered in one call; and nothing bounded the sum over all connections, nor their number.

Change: reads of 16 KB into one shared buffer, parsed 2 KB at a time; bytes without any complete part are limited as headers are; only needed headers are kept; one buffer for a body; requests behind an unanswered one wait unparsed; responses that are not read stop the service of their connection. One budget for all unread and unanswered requests of a process, by the memory in its settings, and a limit of callers' connections by its descriptors: event_loop/ ingress_budget.py, without I/O. The connection moved to a module of its own. Design: docs/design/ingress-budget.md, with what is not built.

Two faults found on the way, each with a test: a partly received pipelined request lost its target to the response before it (a wrong 404), and a refusal of a pipelined request was sent in place of the answer that was still open.

Generated byte streams, cut at any place, are checked in test_http_streams_of_bytes.py with a fixed seed.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 test: lint  ## Run formatter, linter and all tests.
 	$(RUN) -m pytest -n 4
 	cd platform && PYTHONHASHSEED=0 ../$(VENV)/bin/python -m pytest -n 2
+	cd platform && PYTHONHASHSEED=0 ../$(VENV)/bin/python -m pytest hostile_clients
 
 demo: $(VENV)/.installed  ## Show a whole service of real processes on loopback.
 	$(RUN) -m benchmarks.demo
--- a/sassafrasloft/event_loop/http_messages.py
+++ b/sassafrasloft/event_loop/http_messages.py
@@ -57,6 +57,12 @@
         """Return a response with a JSON body."""
         return cls(status, json.dumps(value).encode(), headers)
 
+    @classmethod
+    def refusal(cls, status: int, reason: str) -> "HttpResponse":
+        """Return the response to a request that was not read whole or not started."""
+        headers = (("Retry-After", "1"),) if status == 503 else ()
+        return cls.json(status, {"error": reason}, headers)
+
     def to_bytes(self, close: bool) -> bytes:
         """Return the encoded response; `close` adds the header `Connection: close`."""
         lines = [
--- a/sassafrasloft/event_loop/metrics_page.py
+++ b/sassafrasloft/event_loop/metrics_page.py
@@ -4,6 +4,7 @@
 
 from sassafrasloft.event_loop.http_messages import HttpRequest, HttpResponse
 from sassafrasloft.event_loop.http_server import HttpServer
+from sassafrasloft.event_loop.ingress_budget import IngressBudget
 from sassafrasloft.event_loop.log_output import LogOutput
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.workload import HttpLimits
@@ -12,11 +13,14 @@
 class MetricsPage:
     """Serves the counters, gauges and histograms of one board over HTTP."""
 
-    def __init__(self, board: InstanceBoard, log: LogOutput) -> None:
+    def __init__(
+        self, board: InstanceBoard, log: LogOutput, ingress: IngressBudget
+    ) -> None:
         self._board = board
         self._log = log
+        self._ingress = ingress
         self._registry = None
-        self.server = HttpServer(self, HttpLimits())
+        self.server = HttpServer(self, HttpLimits(), kept_headers=frozenset())
 
     def handle_request(self, request_id: int, request: HttpRequest) -> None:
         """Answer any request with the metrics."""
@@ -41,6 +45,9 @@
         for name, value in board.counters.items():
             registry.set_counter(name, value)
         registry.set_counter("log_lines_dropped", self._log.dropped)
+        for cause, value in self._ingress.refusals.items():
+            registry.set_counter("clients_refused", value, (("cause", cause),))
+        registry.set_gauge("request_bytes_held", self._ingress.held_bytes)
         registry.set_gauge("open_requests", board.requests.count)
         registry.set_gauge("open_jobs", len(board.jobs.open))
         registry.set_gauge("runners_known", len(board.pool.runners))
--- a/sassafrasloft/event_loop/process.py
+++ b/sassafrasloft/event_loop/process.py
@@ -20,6 +20,7 @@
 from sassafrasloft.event_loop.http_messages import HttpRequest, HttpResponse
 from sassafrasloft.event_loop.http_server import HttpServer
 from sassafrasloft.event_loop.inbound import InboundQueue
+from sassafrasloft.event_loop.ingress_budget import IngressLimits
 from sassafrasloft.event_loop.log_output import LogOutput
 from sassafrasloft.event_loop.metrics_page import MetricsPage
 from sassafrasloft.event_loop.streams import MessageStreams
@@ -51,6 +52,8 @@
 from sassafrasloft.runs import RunnerCommand, RunnerReply
 from sassafrasloft.workload import HttpLimits
 
+REFUSAL_LOG_PERIOD_MS = 1_000
+"""Refusals of requests that were not read are logged at most this often."""
 EXIT_DELAY_S = 0.05
 """The delay before the process exits, in which the last responses are sent."""
 
@@ -85,6 +88,9 @@
 class CallerCodec(Protocol):
     """Decodes requests of callers and encodes answers; implemented by an adapter."""
 
+    header_names: frozenset[str]
+    """The headers that decoding needs, in lower case."""
+
     def decode_request(
         self, request_id: int, request: HttpRequest
     ) -> Event | HttpResponse:
@@ -107,6 +113,8 @@
     callers : CallerForms
     load_settings : callable
         Loads the settings again after SIGHUP.
+    ingress : IngressLimits, optional
+        Limits of all requests of callers; by default those of a small machine.
     """
 
     def __init__(
@@ -118,6 +126,7 @@
         runners: RunnerClient,
         callers: CallerCodec,
         load_settings: Callable[[], InstanceSettings],
+        ingress: IngressLimits | None = None,
     ) -> None:
         self._core = core
         self._board = core.board
@@ -130,8 +139,17 @@
         self._is_ready = False
         self._backlog_ms = 0
         self._exit_requested = asyncio.Event()
-        self.callers_server = HttpServer(self, HttpLimits())
-        self._readiness_server = HttpServer(ReadinessPage(self), HttpLimits())
+        self.callers_server = HttpServer(
+            self,
+            HttpLimits(),
+            ingress,
+            callers.header_names,
+            self._report_refusals,
+        )
+        self._refusals_reported_at = -REFUSAL_LOG_PERIOD_MS
+        self._readiness_server = HttpServer(
+            ReadinessPage(self), HttpLimits(), kept_headers=frozenset()
+        )
         self._streams = MessageStreams(self.tell)
         loop = asyncio.get_running_loop()
         self._timers = LoopTimers(loop, clock, self._handle_timer)
@@ -178,6 +196,19 @@
         self._streams.pause_reading(paused)
         self.callers_server.pause_reading(paused)
 
+    def _report_refusals(self) -> None:
+        """Log, at most once a second, how many requests were given up unread."""
+        now = self._clock.now()
+        if now - self._refusals_reported_at < REFUSAL_LOG_PERIOD_MS:
+            return
+        self._refusals_reported_at = now
+        budget = self.callers_server.budget
+        self._log.write(
+            "WARNING",
+            "clients_refused",
+            (("held_bytes", budget.held_bytes), *sorted(budget.refusals.items())),
+        )
+
     def _command_handlers(self) -> dict[type[Command], Callable]:
         streams = self._streams
         return {
@@ -206,7 +237,7 @@
         await self.callers_server.listen(*split_address(settings.callers_address))
         await self._readiness_server.listen(*split_address(settings.readiness_address))
         if settings.metrics_address:
-            page = MetricsPage(self._board, self._log)
+            page = MetricsPage(self._board, self._log, self.callers_server.budget)
             await page.server.listen(*split_address(settings.metrics_address))
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop)
--- a/sassafrasloft/event_loop/tests/test_fairness.py
+++ b/sassafrasloft/event_loop/tests/test_fairness.py
@@ -65,6 +65,12 @@
         return self._work_clock.now() / 1_000
 
 
+class PlainCodec:
+    """Callers send no requests here."""
+
+    header_names = frozenset()
+
+
 class DelayedStore:
     """A store that replies after 20 ms of loop time."""
 
@@ -79,7 +85,9 @@
 
     async def main():
         log = LogOutput(os.open(os.devnull, os.O_WRONLY), clock, {})
-        process = InstanceProcess(core, clock, log, DelayedStore(), None, None, None)
+        process = InstanceProcess(
+            core, clock, log, DelayedStore(), None, PlainCodec(), None
+        )
         await process._streams.listen(HOST, 0)
         for name, period in periods.items():
             process._timers.set(name, clock.now() + period)
--- a/sassafrasloft/instance/settings.py
+++ b/sassafrasloft/instance/settings.py
@@ -29,6 +29,8 @@
         Factor on the duration of a task that runs outside the rack of its data.
     seeds : tuple of str
         ``IP:port`` for streams to some other instances, which may no longer exist.
+    memory_mb, descriptors : int
+        Memory and descriptors that the process may use; 0 if they are not known.
     """
 
     name: str
@@ -42,3 +44,5 @@
     longest_lease_ms: int = 1_000
     away_factor: float = 1.0
     seeds: tuple[str, ...] = ()
+    memory_mb: int = 0
+    descriptors: int = 0
