Choose acting schedulers that stay, and keep them until a cut ends

Cause: the choice of an acting scheduler did not know which instances were stopping, and the planned stop of an acting one ended as soon as its own callers were answered. Tokens of two successors were below those of the last acting scheduler, so that runners fenced them.

Change: replies to polls say whether an instance stops; such an instance acts only if all others stop too; a stopping acting scheduler waits while instances follow it; followers keep the zone epochs of an acting scheduler, and a successor begins above them.

--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -122,7 +122,7 @@
     the only availability zone that it schedules for. `active_ms` is how long it has
     been scheduling, and `runners_known` is the number of runners that it knows.
     `reads_evacuations` is false from earlier releases, which do not know the message
-    `EvacuationReport`.
+    `EvacuationReport`. `zone_epochs` are those that an acting scheduler uses.
     """
 
     name: str
@@ -132,6 +132,7 @@
     active_ms: Milliseconds = 0
     runners_known: int = 0
     reads_evacuations: bool = False
+    zone_epochs: tuple[ZoneEpoch, ...] = ()
 
 
 @register_message("evacuations")
@@ -231,7 +232,8 @@
     `acting_address` is the address of the acting scheduler that serves the sender, and
     `acting_zone` the only zone for which this one schedules. `holder` holds the
     leadership of `revision`, as far as the sender knows. `knows_runners` is false if
-    the sender has never read the list of runners.
+    the sender has never read the list of runners, and `stopping` is true if it exits
+    soon.
     """
 
     name: str
@@ -243,6 +245,7 @@
     holder: str = ""
     holder_address: str = ""
     knows_runners: bool = False
+    stopping: bool = False
 
 
 @register_message("submit")
--- a/sassafrasloft/instance/stopping.py
+++ b/sassafrasloft/instance/stopping.py
@@ -51,10 +51,7 @@
         if closed_ms < tuning.closed_before_exit_ms:
             return
         idle = board.requests.count == 0
-        scheduling = (
-            board.leadership.role is Role.SCHEDULING and board.leadership.members[1:]
-        )
-        if (idle and not scheduling) or elapsed_ms >= tuning.longest_stop_ms:
+        if (idle and not _is_needed(board)) or elapsed_ms >= tuning.longest_stop_ms:
             board.log(
                 "stopped", open_requests=board.requests.count, after_ms=elapsed_ms
             )
@@ -64,3 +61,17 @@
                 f"{board.requests.count} requests are unanswered",
             )
             board.emit(ExitProcess())
+
+
+def _is_needed(board: InstanceBoard) -> bool:
+    """Return whether other instances depend on this one as their scheduler.
+
+    One that holds leadership waits until another instance has taken over. An acting one
+    cannot hand over while its zone is cut off, and waits until it reaches a scheduler.
+    """
+    leadership = board.leadership
+    if leadership.role is Role.SCHEDULING:
+        return bool(leadership.members[1:])
+    if leadership.role is Role.ACTING:
+        return any(one.follower for one in leadership.streams.values())
+    return False
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -322,6 +322,9 @@
         leadership.scheduler_delay_ms = 0
         leadership.scheduler_configuration_version = 0
         leadership.scheduler_is_acting = message.acting
+        leadership.followed_zone_epochs = {
+            one.zone: one.round for one in message.zone_epochs if message.acting
+        }
         leadership.scheduler_reads_evacuations = message.reads_evacuations
         leadership.scheduler_address = stream.address
         leadership.scheduler_zone = message.zone
@@ -377,6 +380,7 @@
             leadership.record.name if leadership.record else "",
             leadership.record.peers_address if leadership.record else "",
             bool(board.pool.entries),
+            board.stopping.requested,
         )
         board.emit(SendMessage(stream.stream_id, reply))
 
--- a/sassafrasloft/leadership/elections.py
+++ b/sassafrasloft/leadership/elections.py
@@ -307,7 +307,8 @@
 ) -> Member | None:
     """Return the member to be acting scheduler of a zone, or of all if it is empty.
 
-    Only an instance that has read the list of runners can be acting scheduler.
+    Only an instance that has read the list of runners can be acting scheduler. One
+    that is about to stop is chosen only if all others are, too.
     More than half of the instances concerned must have lost the scheduler, so that a
     single isolated instance takes no runners from it.
     """
@@ -329,4 +330,8 @@
     able = [one for one in lost if replies[one.name].knows_runners]
     if own is not None and board.pool.entries:
         able.append(own)
-    return min(able, key=lambda one: (-one.cores, one.slot), default=None)
+    stopping = {one.name for one in replies.values() if one.stopping}
+    if board.stopping.requested:
+        stopping.add(board.settings.name)
+    staying = [one for one in able if one.name not in stopping]
+    return min(staying or able, key=lambda one: (-one.cores, one.slot), default=None)
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -117,6 +117,7 @@
                     board.now - board.pool.activated_at,
                     len(board.pool.entries),
                     reads_evacuations=True,
+                    zone_epochs=leadership.used_zone_epochs(),
                 ),
             )
         )
--- a/sassafrasloft/leadership/role_controller.py
+++ b/sassafrasloft/leadership/role_controller.py
@@ -176,7 +176,10 @@
         zones = {one.zone for one in board.pool.entries.values()}
         for one in sorted(zones | {board.settings.zone}):
             if zone in ("", one):
-                leadership.zone_epochs[one] = leadership.zone_epochs.get(one, 0) + 1
+                # Runners hold the token of the last acting scheduler, if there was one.
+                last = leadership.followed_zone_epochs.get(one, 0)
+                epoch = max(leadership.zone_epochs.get(one, 0), last) + 1
+                leadership.zone_epochs[one] = epoch
         token = leadership.token_for(board.settings.zone)
         board.log("acting_scheduler", "WARNING", zone=zone, token=token)
         board.count("acting_rights_used")
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -123,6 +123,8 @@
     zone_epochs: dict[str, int] = attrs.field(factory=dict)
     """Epoch of each availability zone: how often its runners passed from one
     scheduler to another within the same leadership revision."""
+    followed_zone_epochs: dict[str, int] = attrs.field(factory=dict)
+    """Epochs that the last scheduler used, if it was an acting one."""
     members: tuple[Member, ...] = ()
     """Member list: the instances known to the scheduler."""
     streams: dict[int, PeerStream] = attrs.field(factory=dict)
