Weigh the wait for a task's rack, and spread the returns of refused callers

Rack: a task waited for the rack of its data only while it was late elsewhere, and otherwise paid a fixed price; nobody asked when a place there becomes free, who else waits for it, or what a run that takes three times as long takes from others. scheduling/rack_wait.py decides by the expected ends, with a longest wait that a deployment sets (0: none).

Returns: all callers that were refused within a second were told the same Retry-After. scheduling/return_times.py gives each the first second in which its work fits beside the others'.

--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -137,6 +137,9 @@
     has then lost less than a quarter of the time for a retry that is still on time."""
     wait_margin_ms: Milliseconds = 10
     """Part of that time taken by the messages to and from the caller."""
+    longest_rack_wait_ms: Milliseconds = 1_000
+    """Longest wait of a task for a place in the rack of its data, about the duration of
+    the longest usual tasks; 0 to start it in another rack at once."""
     sure_work: float = 0.77
     """Share of its expected duration that a job takes at least in nine of ten cases:
     declared durations are wrong by up to 40%, actual ones vary by 40%."""
--- a/sassafrasloft/scheduling/admission.py
+++ b/sassafrasloft/scheduling/admission.py
@@ -112,7 +112,7 @@
         waited for.
         """
         if has_only_evacuated_runners(job, board.pool):
-            return _evacuated_refusal(board)
+            return _evacuated_refusal(job, board)
         if not job.is_caller_retry:
             return None
         service_capacity = _service_capacity(job.route.service, board)
@@ -134,7 +134,7 @@
         if not too_long:
             return None
         reason = f"the work ahead takes {wait_ms:.0f} ms"
-        return Refusal(reason, retry_after_s(board))
+        return Refusal(reason, retry_after_s(job, board))
 
     def latest_start(self, job: ScheduledJob, board: InstanceBoard) -> float:
         """Return when the job has to start to be on time, by its estimated duration."""
@@ -158,16 +158,18 @@
 
 def _unconditional_refusal(job: ScheduledJob, board: InstanceBoard) -> Refusal | None:
     if len(board.jobs.open) >= board.tuning.most_open_jobs:
-        return Refusal("too many open jobs", retry_after_s(board))
+        return Refusal("too many open jobs", retry_after_s(job, board))
     if board.now >= job.deadline_at:
-        return Refusal("the caller's deadline has passed", retry_after_s(board))
+        reason = "the caller's deadline has passed"
+        return Refusal(reason, retry_after_s(job, board))
     if has_only_evacuated_runners(job, board.pool):
-        return _evacuated_refusal(board)
+        return _evacuated_refusal(job, board)
     return None
 
 
-def _evacuated_refusal(board: InstanceBoard) -> Refusal:
-    return Refusal("all runners for it are in evacuated zones", retry_after_s(board))
+def _evacuated_refusal(job: ScheduledJob, board: InstanceBoard) -> Refusal:
+    reason = "all runners for it are in evacuated zones"
+    return Refusal(reason, retry_after_s(job, board))
 
 
 def expected_wait_ms(job: ScheduledJob, board: InstanceBoard) -> float:
@@ -195,16 +197,26 @@
     )
 
 
-def retry_after_s(board: InstanceBoard) -> int:
-    """Return after how many seconds a refused caller may retry.
+def retry_after_s(job: ScheduledJob, board: InstanceBoard) -> int:
+    """Return after how many seconds the caller of a refused job may retry.
 
-    The runners need this long for the waiting work.
+    By then the runners have done the work that waits now, and there is room for the job
+    beside the other callers that were refused. Without any runner, refused callers
+    are spread all the same.
     """
     backlog = board.jobs.backlog
-    service_capacity = backlog.total_capacity(board.pool, board.now)
+    total_capacity = backlog.total_capacity(board.pool, board.now)
     seconds = (
-        math.ceil(backlog.total() / service_capacity / _SECOND_MS)
-        if service_capacity
+        math.ceil(backlog.total() / total_capacity / _SECOND_MS)
+        if total_capacity
         else 0
     )
-    return max(board.tuning.shortest_retry_after_s, seconds)
+    service = job.route.service
+    busy = board.jobs.new_job_rate.millicores(service, board.now)
+    return board.jobs.return_times.promise(
+        service,
+        job.declared_work,
+        max(board.tuning.shortest_retry_after_s, seconds),
+        _service_capacity(service, board) - busy,
+        board.now,
+    )
--- a/sassafrasloft/scheduling/backlog.py
+++ b/sassafrasloft/scheduling/backlog.py
@@ -44,6 +44,10 @@
             work for key, work in self._work.items() if key[0] == service and key <= own
         )
 
+    def of_service(self, service: str) -> float:
+        """Return the waiting work of a service."""
+        return sum(work for key, work in self._work.items() if key[0] == service)
+
     def total(self) -> float:
         """Return the waiting work of all services."""
         return sum(self._work.values())
--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -67,7 +67,7 @@
     def __init__(
         self,
         order: str = "in_time_first",
-        placement: str = "best_fit",
+        placement: str = "expected_end",
         admission: str = "while_in_time",
     ) -> None:
         admissions = ADMISSIONS.create(admission)
--- a/sassafrasloft/scheduling/free_capacity.py
+++ b/sassafrasloft/scheduling/free_capacity.py
@@ -9,6 +9,7 @@
 
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.runs import RunnerPool, RunnerView
+from sassafrasloft.scheduling.rack_wait import RackPlaces
 
 
 class FreeCapacity:
@@ -24,7 +25,12 @@
 
     def __init__(self, views: list[RunnerView], away_factor: float = 1.0) -> None:
         self.away_factor = away_factor
+        self.backlog_ms = 0.0
+        """How long the runners need for the work that waits."""
+        self.longest_rack_wait_ms: Milliseconds = 0
+        """Longest wait of a task for the rack of its data; 0 for no wait."""
         self._racks: dict[str, bool] = {}
+        self._rack_places: dict[tuple[str, int], RackPlaces] = {}
         self._index_of_runner: dict[str, int] = {}
         """Positions in `_views`; filled when the first runner gets a task."""
         self._views = views
@@ -64,6 +70,14 @@
             self._racks[rack] = any(view.entry.is_in(rack) for view in self._views)
         return self._racks[rack]
 
+    def rack_places(self, rack: str, millicores: int, now: Milliseconds) -> RackPlaces:
+        """Return when the runners of a rack have places for tasks of this size."""
+        key = (rack, millicores)
+        if key not in self._rack_places:
+            views = (one for one in self._views if one.entry.is_in(rack))
+            self._rack_places[key] = RackPlaces(views, millicores, now)
+        return self._rack_places[key]
+
     def highest_free_millicores(self, count: int) -> list[int]:
         """Return the free millicores of the `count` runners with the most."""
         return [free for free, _ in self._sorted[: -count - 1 : -1]]
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -8,6 +8,7 @@
 from sassafrasloft.runs import Run, StartRule
 from sassafrasloft.scheduling.backlog import Backlog
 from sassafrasloft.scheduling.inherited_jobs import InheritedJob, later_ends
+from sassafrasloft.scheduling.return_times import ReturnTimes
 from sassafrasloft.scheduling.work_rate import WorkRate
 from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import JobRequest, Route, task_name
@@ -55,6 +56,8 @@
     """Where it may start, as of the last scheduling pass."""
     not_before: Milliseconds = 0
     """Earliest start: until then a run may exist on a runner that is not known."""
+    rack_wait_began_at: Milliseconds = -1
+    """Since when it waits for a place in the rack of its data; -1 if it does not."""
     possible_runs: dict[str, Milliseconds] = attrs.field(factory=dict)
     """By runner, when a run that another scheduler reported has ended at the latest."""
 
@@ -154,6 +157,14 @@
         """The priority of the job's route; 0 is the most urgent."""
         return self.route.priority
 
+    @property
+    def declared_work(self) -> float:
+        """The declared work of all its tasks, in millicore-milliseconds."""
+        return sum(
+            step.count * step.demand.millicores * step.estimate_ms
+            for step in self.request.steps
+        )
+
     def create_tasks(self) -> None:
         """Create all tasks; those of steps without predecessors start to wait."""
         for number, step in enumerate(self.request.steps):
@@ -264,6 +275,8 @@
     new_job_rate: WorkRate = attrs.field(factory=WorkRate)
     """Arrival rate of work, without caller retries."""
     backlog: Backlog = attrs.field(factory=Backlog)
+    return_times: ReturnTimes = attrs.field(factory=ReturnTimes)
+    """When the callers of refused jobs may return."""
     predecessor_runs_possible: bool = False
     """Whether runners may have runs of a predecessor that this scheduler does not know
     of, as of the last scheduling pass."""
@@ -285,4 +298,5 @@
         self.inherited.clear()
         self.reported_revisions.clear()
         self.backlog.replace({})
+        self.return_times = ReturnTimes()
         self.unseen_by_predecessor = None
--- a/sassafrasloft/scheduling/placement.py
+++ b/sassafrasloft/scheduling/placement.py
@@ -12,6 +12,7 @@
 from sassafrasloft.runs.health import current_slowness
 from sassafrasloft.scheduling.free_capacity import FreeCapacity
 from sassafrasloft.scheduling.jobs import ScheduledJob, ScheduledTask
+from sassafrasloft.scheduling.rack_wait import PlaceChoice
 from sassafrasloft.scheduling.registry import PolicyRegistry
 from sassafrasloft.workload import StepRequest
 
@@ -26,6 +27,8 @@
 RACK_WAIT_MARGIN_MS = 12
 """A job stops waiting for the rack of its data this long before it would be late there:
 slightly more than the margin before lateness at which admission refuses it."""
+FIXED_RACK_WAIT_MS = 30
+"""Wait of the baseline policy: half of the shortest usual objective's slack."""
 FAILED_PENALTY_MILLICORES = 80_000
 """Cost of a runner on which the task has failed before, as remaining capacity."""
 
@@ -103,8 +106,27 @@
         step = job.request.steps[task.step]
         if task.start_rule in (StartRule.APART, StartRule.ALONE):
             return _emptiest_runner(capacity, job, task, now)
-        millicores = step.demand.millicores
         waits_for_rack = _should_wait_for_rack(capacity, job, step, latest_end, now)
+        return self._lowest_cost(
+            capacity, job, task, latest_end, now, only_rack=waits_for_rack
+        )
+
+    def _lowest_cost(
+        self,
+        capacity: FreeCapacity,
+        job: ScheduledJob,
+        task: ScheduledTask,
+        latest_end: Milliseconds,
+        now: Milliseconds,
+        only_rack: bool,
+    ) -> RunnerView | None:
+        """Return the runner with the lowest cost, if need be in the rack of the data.
+
+        A slow runner on which the task would end too late is left out.
+        """
+        step = job.request.steps[task.step]
+        millicores = step.demand.millicores
+        rack = step.preferred_rack
         best: RunnerView | None = None
         best_cost = float("inf")
         for view in capacity.with_free_millicores(millicores):
@@ -118,9 +140,8 @@
                 if now + step.estimate_ms * slowness > latest_end:
                     continue
                 cost += SLOW_PENALTY_MILLICORES * slowness
-            rack = step.preferred_rack
             if rack and not view.entry.is_in(rack):
-                if waits_for_rack:
+                if only_rack:
                     continue
                 cost += REMOTE_PENALTY_MILLICORES
             if view.suspect_runs:
@@ -133,6 +154,76 @@
         return best
 
 
+@PLACEMENTS.register("expected_end")
+class ExpectedEnd(BestFit):
+    """Chooses as `BestFit`, but in the rack of the data while a wait for it pays.
+
+    Load pattern and rule: `sassafrasloft.scheduling.rack_wait`.
+    """
+
+    def choose(
+        self,
+        capacity: FreeCapacity,
+        job: ScheduledJob,
+        task: ScheduledTask,
+        latest_end: Milliseconds,
+        now: Milliseconds,
+    ) -> RunnerView | None:
+        """Return a runner in the rack or, unless the task should wait, elsewhere."""
+        step = job.request.steps[task.step]
+        rack = step.preferred_rack
+        is_restricted = task.start_rule in (StartRule.APART, StartRule.ALONE)
+        if not rack or is_restricted or not capacity.longest_rack_wait_ms:
+            return super().choose(capacity, job, task, latest_end, now)
+        places = capacity.rack_places(rack, step.demand.millicores, now)
+        view = self._lowest_cost(capacity, job, task, latest_end, now, only_rack=True)
+        if view is not None:
+            places.take_free_place(now)
+            return view
+        began_at = task.rack_wait_began_at
+        duration_ms = _expected_ms(job, step)
+        choice = PlaceChoice(
+            duration_ms,
+            capacity.away_factor,
+            places.next_at(duration_ms),
+            latest_end,
+            capacity.backlog_ms,
+            now - began_at if began_at >= 0 else 0,
+        )
+        if choice.wait_pays(now, RACK_WAIT_MARGIN_MS, capacity.longest_rack_wait_ms):
+            places.add_waiting_task()
+            if began_at < 0:
+                task.rack_wait_began_at = now
+            return None
+        return self._lowest_cost(capacity, job, task, latest_end, now, only_rack=False)
+
+
+@PLACEMENTS.register("fixed_rack_wait")
+class FixedRackWait(BestFit):
+    """Waits for the rack of the data for a fixed time; a baseline policy."""
+
+    def choose(
+        self,
+        capacity: FreeCapacity,
+        job: ScheduledJob,
+        task: ScheduledTask,
+        latest_end: Milliseconds,
+        now: Milliseconds,
+    ) -> RunnerView | None:
+        """Return a runner in the rack, after the fixed time one elsewhere."""
+        if not job.request.steps[task.step].preferred_rack:
+            return super().choose(capacity, job, task, latest_end, now)
+        view = self._lowest_cost(capacity, job, task, latest_end, now, only_rack=True)
+        if view is not None or now - job.accepted_at < FIXED_RACK_WAIT_MS:
+            return view
+        return self._lowest_cost(capacity, job, task, latest_end, now, only_rack=False)
+
+
+def _expected_ms(job: ScheduledJob, step: StepRequest) -> float:
+    """Return the expected duration of a task in the rack of its data."""
+    return job.critical_path_ms if len(job.request.steps) == 1 else step.estimate_ms
+
+
 def _emptiest_runner(
     capacity: FreeCapacity, job: ScheduledJob, task: ScheduledTask, now: Milliseconds
 ) -> RunnerView | None:
--- a/sassafrasloft/scheduling/task_placer.py
+++ b/sassafrasloft/scheduling/task_placer.py
@@ -57,8 +57,13 @@
     """Waiting work of the jobs examined so far, by service."""
     backlog: WorkByClass = attrs.field(factory=dict)
     """Waiting work of all examined jobs, for the backlog of the job table."""
-    next_refusal_at: float = _NEVER
-    """Earliest time at which a job that still waits is to be refused."""
+    next_decision_at: float = _NEVER
+    """Earliest time at which a job that still waits is to be refused, or to be placed
+    outside the rack of its data."""
+
+    def expect_decision(self, at: float) -> None:
+        """Record when a job that still waits then has to be examined again."""
+        self.next_decision_at = min(self.next_decision_at, at)
 
     def add_waiting_work(self, job: ScheduledJob, board: InstanceBoard) -> None:
         """Add the work of the tasks of a job that can start but got no capacity."""
@@ -120,7 +125,7 @@
         for job in waiting:
             self._examine(job, this_pass, board)
         jobs.backlog.replace(this_pass.backlog)
-        self._set_refusal_timer(this_pass.next_refusal_at, board)
+        self._set_refusal_timer(this_pass.next_decision_at, board)
         return len(waiting) + sum(map(len, this_pass.free_capacities.values()))
 
     def _sort(self, waiting: list[ScheduledJob], now: Milliseconds) -> None:
@@ -147,7 +152,7 @@
         service = job.route.service
         capacity = this_pass.free_capacities.get(service)
         if capacity is None:
-            capacity = FreeCapacity.of_service(board.pool, service, board.now)
+            capacity = _free_capacity(service, board)
             this_pass.free_capacities[service] = capacity
         if job.min_waiting_millicores <= capacity.max_free_millicores:
             self._place_job(job, capacity, board)
@@ -159,8 +164,8 @@
         if board.now >= refusal_at:
             if self._refuse_expired(job, capacity, this_pass.waiting, board):
                 return
-        elif refusal_at < this_pass.next_refusal_at:
-            this_pass.next_refusal_at = refusal_at
+        else:
+            this_pass.expect_decision(min(refusal_at, _rack_wait_ends_at(job, board)))
         this_pass.add_waiting_work(job, board)
 
     def _gives_up(self, job: ScheduledJob, board: InstanceBoard) -> bool:
@@ -197,7 +202,7 @@
         job.record_decision(
             board.now, "no_room", _describe_capacity(capacity, waiting, board)
         )
-        refusal = Refusal("no room in time", retry_after_s(board))
+        refusal = Refusal("no room in time", retry_after_s(job, board))
         self._lifecycle.refuse(job, refusal, board)
         return True
 
@@ -284,6 +289,10 @@
             if not _may_start_now(task, board):
                 continue
             view = self._placement.choose(capacity, job, task, latest_end, board.now)
+            if view is None and task.rack_wait_began_at == board.now:
+                board.count("rack_waits")
+                rack = job.request.steps[task.step].preferred_rack
+                job.record_decision(board.now, "waits_for_rack", f"{task.name} {rack}")
             if view is not None:
                 self._start(job, task, view, board)
                 capacity.update_runner(view)
@@ -324,6 +333,7 @@
             f"task {task.name} is placed on draining runner {run.runner_id}",
         )
         board.pool.reserve(run)
+        _record_rack_wait(task, view.entry.is_in(step.preferred_rack), board)
         job.dequeue(task)
         task.state = TaskState.PLACED
         task.run = run
@@ -345,6 +355,39 @@
         board.post(RunPlaced(run, job.request.spec))
 
 
+def _free_capacity(service: str, board: InstanceBoard) -> FreeCapacity:
+    """Return the free capacity of a service and what a wait for a rack depends on."""
+    capacity = FreeCapacity.of_service(board.pool, service, board.now)
+    backlog = board.jobs.backlog
+    millicores = backlog.service_capacity(service, board.pool, board.now)
+    if millicores:
+        capacity.backlog_ms = backlog.of_service(service) / millicores
+    capacity.longest_rack_wait_ms = board.tuning.longest_rack_wait_ms
+    return capacity
+
+
+def _rack_wait_ends_at(job: ScheduledJob, board: InstanceBoard) -> float:
+    """Return when a task of a job has waited for its rack for the longest time."""
+    began = [one.rack_wait_began_at for one in job.waiting]
+    earliest = min((one for one in began if one >= 0), default=_NEVER)
+    ends_at = earliest + board.tuning.longest_rack_wait_ms
+    return ends_at if ends_at > board.now else _NEVER
+
+
+def _record_rack_wait(
+    task: ScheduledTask, is_in_rack: bool, board: InstanceBoard
+) -> None:
+    """Count whether a wait for the rack of a task's data has led there."""
+    if task.rack_wait_began_at < 0:
+        return
+    board.measure("rack_wait", board.now - task.rack_wait_began_at)
+    if is_in_rack:
+        board.count("rack_waits_paid")
+    else:
+        board.count("rack_waits_in_vain")
+    task.rack_wait_began_at = -1
+
+
 def _may_start_now(task: ScheduledTask, board: InstanceBoard) -> bool:
     """Return whether a task under which runners were lost may start now.
 
