--- a/sassafrasloft/scheduling/controller.py
+++ b/sassafrasloft/scheduling/controller.py
@@ -19,8 +19,6 @@
 from sassafrasloft.runs import Run, RunEnd, RunState
 from sassafrasloft.scheduling.admission import ADMISSIONS
 from sassafrasloft.scheduling.job_lifecycle import (
-    ABANDONED_TIMER,
-    NO_SUBSCRIBERS_TIMER,
     PRUNE_PERIOD_MS,
     PRUNE_TIMER,
     REFUSAL_TIMER,
@@ -31,6 +29,10 @@
 from sassafrasloft.scheduling.placement import PLACEMENTS
 from sassafrasloft.scheduling.stragglers import should_move
 from sassafrasloft.scheduling.task_placer import TaskPlacer
+from sassafrasloft.scheduling.unattended_jobs import (
+    ABANDONED_TIMER,
+    NO_SUBSCRIBERS_TIMER,
+)
 
 PASS_TIMER = "scheduling.pass"
 EXAMINED_PER_MS = 80
@@ -102,11 +104,11 @@
             elif event.name == PRUNE_TIMER:
                 self._lifecycle.prune_answers(board)
             elif event.name == NO_SUBSCRIBERS_TIMER:
-                self._lifecycle.cancel_jobs_without_subscribers(board)
+                self._lifecycle.unattended.cancel_without_subscribers(board)
             elif event.name == ABANDONED_TIMER:
-                self._lifecycle.cancel_abandoned_jobs(board)
+                self._lifecycle.unattended.cancel_abandoned(board)
         elif isinstance(event, FollowerLost):
-            self._lifecycle.remove_subscriber(event, board)
+            self._lifecycle.unattended.remove_subscriber(event, board)
         elif isinstance(event, LeadershipLost):
             board.jobs.discard_all()
             self._next_pass_at = 0
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -5,7 +5,6 @@
 from sassafrasloft.instance.commands import SendMessage
 from sassafrasloft.instance.events import (
     OWN_INSTANCE,
-    FollowerLost,
     MessageForGateway,
     RunStopRequested,
 )
@@ -40,15 +39,12 @@
     may_have_run_before,
     startable_work,
 )
+from sassafrasloft.scheduling.unattended_jobs import UnattendedJobs
 from sassafrasloft.traces.traceparent import TraceParent
 from sassafrasloft.workload import Route
 
 REFUSAL_TIMER = "scheduling.wait"
 PRUNE_TIMER = "scheduling.prune"
-NO_SUBSCRIBERS_TIMER = "scheduling.unfollowed"
-ABANDONED_TIMER = "scheduling.abandoned"
-CHECK_PERIOD_MS = 50
-"""Period of the checks for jobs whose caller or instance is gone."""
 PRUNE_PERIOD_MS = 1_000
 """Period of the removal of expired answers."""
 
@@ -65,6 +61,8 @@
     def __init__(self, admission: Admission) -> None:
         self._admission = admission
         self._retry_detector = CallerRetryDetector()
+        self.unattended = UnattendedJobs(self.end)
+        """Jobs whose callers or instances are gone."""
 
     def handle_message(
         self, stream_id: int, message: Message, board: InstanceBoard
@@ -320,7 +318,7 @@
         job = board.jobs.open.get(message.job_id)
         state = self._state_of(message.job_id, board)
         if job is not None and message.may_return and job.subscribers == {stream_id}:
-            self._mark_abandoned(job, board)
+            self.unattended.mark_abandoned(job, board)
         elif job is not None:
             if not message.wants_answer:
                 job.subscribers.discard(stream_id)
@@ -330,60 +328,6 @@
         if message.wants_answer:
             self._send(stream_id, JobState(message.job_id, state), board)
 
-    def _mark_abandoned(self, job: ScheduledJob, board: InstanceBoard) -> None:
-        """Keep a job whose caller was disconnected, as the caller may send it again."""
-        timer_is_set = any(one.abandoned_at >= 0 for one in board.jobs.open.values())
-        if job.abandoned_at < 0:
-            job.abandoned_at = board.now
-            job.record_decision(board.now, "abandoned")
-        if not timer_is_set:
-            board.set_timer(ABANDONED_TIMER, CHECK_PERIOD_MS)
-
-    def cancel_abandoned_jobs(self, board: InstanceBoard) -> None:
-        """Cancel abandoned jobs that no caller has sent again.
-
-        This happens before a disconnected caller may submit its job to another
-        scheduler.
-        """
-        latest = board.now - board.tuning.return_ms
-        waiting = [one for one in board.jobs.open.values() if one.abandoned_at >= 0]
-        for job in waiting:
-            if job.abandoned_at <= latest:
-                self.end(job, JobOutcome.CANCELLED, "its caller is gone", board)
-        if waiting:
-            board.set_timer(ABANDONED_TIMER, CHECK_PERIOD_MS)
-
-    def remove_subscriber(self, event: FollowerLost, board: InstanceBoard) -> None:
-        """Keep the jobs of a lost instance for a while, until it submits them again.
-
-        A stream that was reset may be opened again at once, and an instance that is
-        silent may only have stood still. It may also have submitted its jobs to another
-        scheduler, which starts them no earlier than they are cancelled here.
-        """
-        tuning = board.tuning
-        grace_ms = tuning.silent_grace_ms if event.silent else tuning.silence_ms
-        for job in board.jobs.open.values():
-            if event.stream_id not in job.subscribers:
-                continue
-            job.subscribers.discard(event.stream_id)
-            if not job.subscribers:
-                job.resubmission_due_at = board.now + grace_ms
-        self.cancel_jobs_without_subscribers(board)
-
-    def cancel_jobs_without_subscribers(self, board: InstanceBoard) -> None:
-        """Cancel jobs that no instance has submitted again in time."""
-        next_due_at = -1
-        for job in list(board.jobs.open.values()):
-            due_at = job.resubmission_due_at
-            if job.subscribers or due_at < 0:
-                continue
-            if due_at <= board.now:
-                self.end(job, JobOutcome.CANCELLED, "its instance is gone", board)
-            elif next_due_at < 0 or due_at < next_due_at:
-                next_due_at = due_at
-        if next_due_at >= 0:
-            board.set_timer(NO_SUBSCRIBERS_TIMER, next_due_at - board.now)
-
     def refuse(self, job: ScheduledJob, refusal: Refusal, board: InstanceBoard) -> None:
         """End a job as refused or, if it may have run, as `MAY_HAVE_RUN`."""
         if job.resubmitted or job.may_have_started or job.may_have_run_before:
--- a/sassafrasloft/scheduling/task_placer.py
+++ b/sassafrasloft/scheduling/task_placer.py
@@ -3,11 +3,8 @@
 Load pattern: more tasks wait than the runners have capacity for.
 """
 
-from collections import Counter
 from operator import attrgetter
 
-import attrs
-
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.board import InstanceBoard
 from sassafrasloft.instance.events import RunPlaced
@@ -16,7 +13,6 @@
 from sassafrasloft.runs import Run, RunnerView, RunState, StartRule
 from sassafrasloft.runs.health import current_slowness
 from sassafrasloft.scheduling.admission import Admission, Refusal, retry_after_s
-from sassafrasloft.scheduling.backlog import WorkByClass
 from sassafrasloft.scheduling.free_capacity import FreeCapacity
 from sassafrasloft.scheduling.job_lifecycle import REFUSAL_TIMER, JobLifecycle
 from sassafrasloft.scheduling.jobs import (
@@ -31,52 +27,14 @@
     is_deferred,
     may_start,
     predecessor_runs_possible,
-    startable_work,
 )
+from sassafrasloft.scheduling.scheduling_pass import NEVER, SchedulingPass
 
 RUNNERS_PER_ISOLATED_RUN = 8
 """One runner in so many may serve a task that has to be alone."""
-_NEVER = float("inf")
 _SORT_KEY = attrgetter("sort_key")
 
 
-@attrs.define(eq=False)
-class _SchedulingPass:
-    """State of one pass over the waiting jobs.
-
-    Parameters
-    ----------
-    waiting : int
-        The number of waiting jobs at the start of the pass.
-    """
-
-    waiting: int
-    free_capacities: dict[str, FreeCapacity] = attrs.field(factory=dict)
-    """Free capacity of the usable runners, by service."""
-    preceding_work: Counter[str] = attrs.field(factory=Counter)
-    """Waiting work of the jobs examined so far, by service."""
-    backlog: WorkByClass = attrs.field(factory=dict)
-    """Waiting work of all examined jobs, for the backlog of the job table."""
-    next_decision_at: float = _NEVER
-    """Earliest time at which a job that still waits is to be refused, or to be placed
-    outside the rack of its data."""
-
-    def expect_decision(self, at: float) -> None:
-        """Record when a job that still waits then has to be examined again."""
-        self.next_decision_at = min(self.next_decision_at, at)
-
-    def add_waiting_work(self, job: ScheduledJob, board: InstanceBoard) -> None:
-        """Add the work of the tasks of a job that can start but got no capacity."""
-        simple = not (job.has_deferred_tasks or job.resubmitted)
-        work = job.waiting_work if simple else startable_work(job, board)
-        if work:
-            service = job.route.service
-            self.preceding_work[service] += work
-            late = job.is_caller_retry or board.now > job.latest_on_time_start
-            key = (service, late, job.priority)
-            self.backlog[key] = self.backlog.get(key, 0.0) + work
-
-
 class TaskPlacer:
     """Places waiting tasks on runners, in the order that a policy defines.
 
@@ -121,7 +79,7 @@
             return 0
         jobs.predecessor_runs_possible = predecessor_runs_possible(board)
         self._sort(waiting, board.now)
-        this_pass = _SchedulingPass(len(waiting))
+        this_pass = SchedulingPass(len(waiting))
         for job in waiting:
             self._examine(job, this_pass, board)
         jobs.backlog.replace(this_pass.backlog)
@@ -140,12 +98,12 @@
                 job.sort_key_valid_until = (
                     job.latest_on_time_start
                     if now <= job.latest_on_time_start
-                    else _NEVER
+                    else NEVER
                 )
         waiting.sort(key=_SORT_KEY)
 
     def _examine(
-        self, job: ScheduledJob, this_pass: "_SchedulingPass", board: InstanceBoard
+        self, job: ScheduledJob, this_pass: SchedulingPass, board: InstanceBoard
     ) -> None:
         if self._gives_up(job, board):
             return
@@ -237,7 +195,7 @@
         Infinite for a job that has no waiting task or has a run.
         """
         if not job.waiting:
-            return _NEVER
+            return NEVER
         if not job.start_sent:
             if job.resubmitted:
                 return job.deadline_at
@@ -245,13 +203,13 @@
                 job.latest_start = self._admission.latest_start(job, board)
             return job.latest_start
         if any(task.run is not None for task in job.tasks.values()):
-            return _NEVER
+            return NEVER
         if job.may_have_started:
             return job.deadline_at - job.critical_path_ms
         return self._admission.latest_start(job, board)
 
     def _set_refusal_timer(self, refusal_at: float, board: InstanceBoard) -> None:
-        if refusal_at == _NEVER:
+        if refusal_at == NEVER:
             return
         fires_at = int(refusal_at) + 1
         if self._refusal_timer_at != fires_at:
@@ -369,9 +327,9 @@
 def _rack_wait_ends_at(job: ScheduledJob, board: InstanceBoard) -> float:
     """Return when a task of a job has waited for its rack for the longest time."""
     began = [one.rack_wait_began_at for one in job.waiting]
-    earliest = min((one for one in began if one >= 0), default=_NEVER)
+    earliest = min((one for one in began if one >= 0), default=NEVER)
     ends_at = earliest + board.tuning.longest_rack_wait_ms
-    return ends_at if ends_at > board.now else _NEVER
+    return ends_at if ends_at > board.now else NEVER
 
 
 def _record_rack_wait(
