Look for ends of rack waits only in jobs that have waited for a rack

Each pass built two lists for each waiting job to find when its wait for a rack ends, though none had waited.

Change: a job remembers whether one of its tasks has waited.

--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -104,6 +104,8 @@
     """Whether one of its tasks was deferred since an unknown run may exist."""
     has_start_rules: bool = False
     """Whether the starts of its tasks are restricted after losses of runners."""
+    has_waited_for_rack: bool = False
+    """Whether one of its tasks has waited for the rack of its data."""
     start_sent: bool = False
     """Whether the start of one of its tasks was sent to a runner."""
     may_have_started: bool = False
--- a/sassafrasloft/scheduling/scheduling_pass.py
+++ b/sassafrasloft/scheduling/scheduling_pass.py
@@ -34,10 +34,6 @@
     """Earliest time at which a job that still waits is to be refused, or to be placed
     outside the rack of its data."""
 
-    def expect_decision(self, at: float) -> None:
-        """Record when a job that still waits then has to be examined again."""
-        self.next_decision_at = min(self.next_decision_at, at)
-
     def add_waiting_work(self, job: ScheduledJob, board: InstanceBoard) -> None:
         """Add the work of the tasks of a job that can start but got no capacity."""
         simple = not (job.has_deferred_tasks or job.resubmitted)
--- a/sassafrasloft/scheduling/task_placer.py
+++ b/sassafrasloft/scheduling/task_placer.py
@@ -123,7 +123,10 @@
             if self._refuse_expired(job, capacity, this_pass.waiting, board):
                 return
         else:
-            this_pass.expect_decision(min(refusal_at, _rack_wait_ends_at(job, board)))
+            if job.has_waited_for_rack:
+                refusal_at = min(refusal_at, _rack_wait_ends_at(job, board))
+            if refusal_at < this_pass.next_decision_at:
+                this_pass.next_decision_at = refusal_at
         this_pass.add_waiting_work(job, board)
 
     def _gives_up(self, job: ScheduledJob, board: InstanceBoard) -> bool:
@@ -248,6 +251,7 @@
                 continue
             view = self._placement.choose(capacity, job, task, latest_end, board.now)
             if view is None and task.rack_wait_began_at == board.now:
+                job.has_waited_for_rack = True
                 board.count("rack_waits")
                 rack = job.request.steps[task.step].preferred_rack
                 job.record_decision(board.now, "waits_for_rack", f"{task.name} {rack}")
