Keep cancelled jobs from starting again

A cancelling that found no job, as between a takeover and the job's resubmission, left no trace at all, nor did one at the scheduler before.

A scheduler that is killed takes its ids along.

--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -395,7 +395,7 @@
 
 @attrs.frozen
 class EndedJob:
-    """A job that ended recently; its answer may not have reached its instance."""
+    """A job that must not start again, and its outcome."""
 
     job_id: str
     outcome: str
@@ -410,7 +410,7 @@
     started under that leadership. Apart from `unseen_runners`, the message covers the
     runs of earlier schedulers as well; if this is None, as from earlier releases, it
     covers those of no runner. `ended_jobs` are the jobs that completed or failed
-    recently; earlier releases send none.
+    recently, or that their callers have cancelled; earlier releases send none.
     """
 
     revision: int
--- a/sassafrasloft/scheduling/handovers.py
+++ b/sassafrasloft/scheduling/handovers.py
@@ -55,13 +55,20 @@
 
 
 def report_ended_jobs(board: InstanceBoard) -> tuple[EndedJob, ...]:
-    """Return the jobs whose answers may not have reached their instances."""
+    """Return the jobs that must not start again.
+
+    These are the ones whose answers may not have reached their instances, and those
+    that their callers have cancelled.
+    """
     oldest = board.now - ENDED_JOBS_MS
-    return tuple(
+    ended = [
         EndedJob(job_id, outcome.value)
         for job_id, (outcome, ended_at) in board.jobs.answers.items()
         if ended_at >= oldest and outcome in FINAL_OUTCOMES
-    )
+    ]
+    cancelled = JobOutcome.CANCELLED.value
+    ended += [EndedJob(one, cancelled) for one in board.jobs.cancelled.newest()]
+    return tuple(ended)
 
 
 def report_jobs(board: InstanceBoard) -> tuple[JobProgress, ...]:
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -108,11 +108,16 @@
 
         If its answer was lost, the job has been submitted here or will be.
         """
+        job = board.jobs.open.get(ended.job_id)
+        if ended.outcome == JobOutcome.CANCELLED:
+            board.jobs.cancelled.add(ended.job_id, board.now)
+            if job is not None:
+                self.end(job, JobOutcome.CANCELLED, "cancelled before", board)
+            return
         if ended.outcome not in handovers.FINAL_OUTCOMES:
             return
         outcome = JobOutcome(ended.outcome)
         board.count("ended_jobs_inherited")
-        job = board.jobs.open.get(ended.job_id)
         if job is None:
             board.jobs.answers.setdefault(ended.job_id, (outcome, board.now))
             return
@@ -158,6 +163,11 @@
         if kept is not None and kept[0] in handovers.FINAL_OUTCOMES:
             self._send(stream_id, JobAnswer(job_id, kept[0].value, "kept"), board)
             return
+        if job_id in board.jobs.cancelled:
+            board.count("cancelled_jobs_rejected")
+            answer = JobAnswer(job_id, JobOutcome.CANCELLED.value, "cancelled before")
+            self._send(stream_id, answer, board)
+            return
         route = _route_of(message, board)
         if route is None:
             self._reject_without_route(stream_id, message, board)
@@ -326,6 +336,7 @@
                 self.end(job, JobOutcome.CANCELLED, "cancelled", board)
                 state = JobOutcome.CANCELLED.value
         if message.wants_answer:
+            board.jobs.cancelled.add(message.job_id, board.now)
             self._send(stream_id, JobState(message.job_id, state), board)
 
     def refuse(self, job: ScheduledJob, refusal: Refusal, board: InstanceBoard) -> None:
@@ -376,6 +387,7 @@
         if not board.pool.active:
             return
         board.set_timer(PRUNE_TIMER, PRUNE_PERIOD_MS)
+        board.jobs.cancelled.prune(board.now)
         oldest = board.now - board.tuning.answer_retention_ms
         for job_id, (_, at) in list(board.jobs.answers.items()):
             if at > oldest:
--- a/sassafrasloft/scheduling/jobs.py
+++ b/sassafrasloft/scheduling/jobs.py
@@ -7,6 +7,7 @@
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.runs import Run, StartRule
 from sassafrasloft.scheduling.backlog import Backlog
+from sassafrasloft.scheduling.cancelled_jobs import CancelledJobs
 from sassafrasloft.scheduling.inherited_jobs import InheritedJob, later_ends
 from sassafrasloft.scheduling.return_times import ReturnTimes
 from sassafrasloft.scheduling.work_rate import WorkRate
@@ -264,6 +265,7 @@
     open: dict[str, ScheduledJob] = attrs.field(factory=dict)
     answers: dict[str, tuple[JobOutcome, Milliseconds]] = attrs.field(factory=dict)
     """Outcome and end time of ended jobs, kept for callers that ask again."""
+    cancelled: CancelledJobs = attrs.field(factory=CancelledJobs)
     inherited: dict[str, InheritedJob] = attrs.field(factory=dict)
     """What predecessors reported of jobs not submitted here yet, by job."""
     inherited_at: Milliseconds = -1
