Use restarted runners only once their new entries are read

Change: a runner whose entry is older than its process takes no work, and the list is read again at once, 200 ms after the last one at the soonest. After 2.5 s without a new entry, as without the store, it is used again for tasks that need no label, if its service rejects overload. A restart that nothing has shown yet cannot be known: a start that reaches the new process first still runs.

--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -203,6 +203,11 @@
     entries: tuple[RunnerEntry, ...]
 
 
+@attrs.frozen
+class RunnerEntryOutdated(Event):
+    """A runner has restarted, and its entry is of an earlier process."""
+
+
 @attrs.frozen
 class RunnersListed(Event):
     """The list of runners was read from the store."""
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -12,6 +12,7 @@
     ConfigurationOffered,
     EvacuationsRead,
     LeadershipGained,
+    RunnerEntryOutdated,
     RunnersListed,
     StoreItemChanged,
     StoreReplied,
@@ -44,6 +45,8 @@
 STANDBY_ENTRIES_PER_MS = 30
 """Limit of entries of runners that all instances read which do not schedule: about
 100 Mbit/s, a tenth of the store's link."""
+MIN_LIST_PERIOD_MS = 200
+"""Shortest time between two lists of runners; many runners may restart together."""
 FIRST_LIST_SPREAD_MS = 1_000
 """After a start of all instances their first lists are spread over this time. A
 scheduler reads its own list at once."""
@@ -59,6 +62,7 @@
         TimerFired,
         LeadershipGained,
         ConfigurationOffered,
+        RunnerEntryOutdated,
     )
 
     def __init__(self) -> None:
@@ -88,6 +92,9 @@
             # An open call may return a list from before leadership was gained.
             self._runners_call = 0
             self._request_runner_list(board, fresh=True)
+        elif isinstance(event, RunnerEntryOutdated):
+            elapsed_ms = board.now - board.pool.entries_read_at
+            board.set_timer(RUNNERS_TIMER, MIN_LIST_PERIOD_MS - elapsed_ms)
         elif isinstance(event, ConfigurationOffered):
             self._adopt_configuration(event.document, "another instance", board)
         elif isinstance(event, TimerFired):
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -10,6 +10,7 @@
     LeadershipGained,
     LeadershipLost,
     RunAccepted,
+    RunnerEntryOutdated,
     RunnerReplied,
     RunnersListed,
     RunnersOffered,
@@ -180,6 +181,9 @@
         view.process_started_at_ms = max(
             view.process_started_at_ms, reply.started_at_ms
         )
+        if view.has_outdated_entry and view.entry_outdated_at < 0:
+            view.entry_outdated_at = board.now
+            board.post(RunnerEntryOutdated())
         self._apply_ended_runs(view, reply, board)
         self._reconcile_running(view, reply, call_id, board)
         self._stop_orphans(board)
--- a/sassafrasloft/runs/runner_list.py
+++ b/sassafrasloft/runs/runner_list.py
@@ -157,6 +157,8 @@
             grown = entry.capacity.minus(view.entry.capacity)
             view.free = view.free.plus(grown)
         view.entry = entry
+        if not view.has_outdated_entry:
+            view.entry_outdated_at = -1
         if restarted:
             # The reply shows which runs the new process has.
             polling.poll_now(view, board, self._calls)
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -45,6 +45,9 @@
         return rack in self.labels
 
 
+ENTRY_GRACE_MS = 2_500
+"""How long a restarted runner waits for its new entry to be read. The list is read each
+second."""
 STALL_FRACTION = 0.2
 """A run without progress for this fraction of its expected duration is stalled. Runners
 report whole percents, and the longest tasks take four times as long as expected."""
@@ -131,6 +134,9 @@
     clock_offset: Milliseconds | None = None
     """Lower bound of the runner's clock minus the local clock at `clock_read_at`."""
     process_started_at_ms: Milliseconds = -1
+    entry_outdated_at: Milliseconds = -1
+    """When a reply showed that the entry is of an earlier process; -1 if it is not. The
+    new process may be of another kind, with other labels, capacity or service."""
     seen_end: int = 0
     lease_until: Milliseconds = 0
     last_answer_at: Milliseconds = -1
@@ -164,6 +170,11 @@
         """The runner's id."""
         return self.entry.runner_id
 
+    @property
+    def has_outdated_entry(self) -> bool:
+        """Whether the entry was written by an earlier process of the runner."""
+        return 0 <= self.entry.started_at_ms < self.process_started_at_ms
+
     @property
     def is_idle(self) -> bool:
         """Whether the open long poll is all that a runner without runs needs."""
@@ -241,8 +252,18 @@
             and view.unanswered == 0
             and not (view.quarantines and view.runs)
             and not (self._excludes_orphans(view) and self.has_orphans(view))
+            and not (view.entry_outdated_at >= 0 and self._awaits_entry(view, now))
         )
 
+    def _awaits_entry(self, view: RunnerView, now: Milliseconds) -> bool:
+        """Return whether a runner takes no work until its new entry has been read.
+
+        While the store does not answer, runners that reject what does not fit are used
+        again after a while.
+        """
+        is_recent = now - view.entry_outdated_at < ENTRY_GRACE_MS
+        return is_recent or view.entry.service not in self.guarded_services
+
     def _excludes_orphans(self, view: RunnerView) -> bool:
         """Return whether a runner takes no work beside runs of unknown demand.
 
--- a/sassafrasloft/scheduling/placement.py
+++ b/sassafrasloft/scheduling/placement.py
@@ -280,7 +280,7 @@
     """
     if not step.demand.fits(view.free):
         return False
-    if step.required_label and step.required_label not in view.entry.labels:
+    if step.required_label and not _has_label(view, step.required_label):
         return False
     if view.isolated_runs or (task.start_rule is StartRule.ALONE and view.runs):
         return False
@@ -291,3 +291,8 @@
         here = sum(1 for name in view.runs if name.startswith(prefix))
         return here < step.max_per_runner
     return True
+
+
+def _has_label(view: RunnerView, label: str) -> bool:
+    """Return whether a runner certainly has a label."""
+    return label in view.entry.labels and not view.has_outdated_entry
--- a/sassafrasloft/testing/fleet/world.py
+++ b/sassafrasloft/testing/fleet/world.py
@@ -145,7 +145,12 @@
         self._notify_watches()
 
     def add_runner(
-        self, runner_id: str, zone: str, capacity: int, process_started_at_ms: int = 0
+        self,
+        runner_id: str,
+        zone: str,
+        capacity: int,
+        process_started_at_ms: int = 0,
+        labels: tuple[str, ...] = (),
     ) -> LeaseRunnerStandin:
         """Start a runner and register it."""
         entry = RunnerEntry(
@@ -155,6 +160,7 @@
             zone,
             False,
             Resources(capacity, 100_000, 0),
+            labels,
             started_at_ms=process_started_at_ms,
         )
         runner = LeaseRunnerStandin(entry, self.task_for)
@@ -173,13 +179,19 @@
         """Delete the entry of a runner from the store, as if it had expired."""
         self.store.delete(self.documents.runners_prefix + runner_id)
 
-    def restart_runner(self, runner_id: str) -> LeaseRunnerStandin:
+    def restart_runner(
+        self, runner_id: str, labels: tuple[str, ...] = ()
+    ) -> LeaseRunnerStandin:
         """Crash a runner and start a new incarnation under the same id."""
         old = self.runners[runner_id]
         old.advance(self.now)
         self.audit.record_runner_crash(old)
         return self.add_runner(
-            runner_id, old.entry.zone, old.entry.capacity.millicores, self.now + 1
+            runner_id,
+            old.entry.zone,
+            old.entry.capacity.millicores,
+            self.now + 1,
+            labels,
         )
 
     def task_for(self, name: str) -> StandinTask:
