Use restarted runners at once while the store does not answer

Change: a restarted runner waits for its entry only while the list of runners is current, that is, read within the last 1.3 s.

--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -46,8 +46,10 @@
 
 
 ENTRY_GRACE_MS = 2_500
-"""How long a restarted runner waits for its new entry to be read. The list is read each
-second."""
+"""How long a restarted runner waits for its new entry while the store answers."""
+LIST_OVERDUE_MS = 1_300
+"""Age of the list of runners, which is read each second, that shows that the store does
+not answer."""
 STALL_FRACTION = 0.2
 """A run without progress for this fraction of its expected duration is stalled. Runners
 report whole percents, and the longest tasks take four times as long as expected."""
@@ -259,10 +261,12 @@
         """Return whether a runner takes no work until its new entry has been read.
 
         While the store does not answer, runners that reject what does not fit are used
-        again after a while.
+        all the same.
         """
         is_recent = now - view.entry_outdated_at < ENTRY_GRACE_MS
-        return is_recent or view.entry.service not in self.guarded_services
+        store_answers = now - self.entries_read_at < LIST_OVERDUE_MS
+        is_guarded = view.entry.service in self.guarded_services
+        return (is_recent and store_answers) or not is_guarded
 
     def _excludes_orphans(self, view: RunnerView) -> bool:
         """Return whether a runner takes no work beside runs of unknown demand.
