--- a/benchmarks/edge_servers.py
+++ b/benchmarks/edge_servers.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).parents[1]
 sys.path[1:1] = [str(ROOT / "platform"), str(ROOT / "platform" / "tests")]
 
-from standin_servers import RunnerServer, StoreServer  # noqa: E402
+from soak.standin_servers import RunnerServer, StoreServer  # noqa: E402
 
 from sassafrasloft.event_loop.http_client import CallResponse, HttpClient  # noqa: E402
 from sassafrasloft.event_loop.http_messages import request_bytes  # noqa: E402
--- a/benchmarks/instance_edges.py
+++ b/benchmarks/instance_edges.py
@@ -39,12 +39,8 @@
 from sassafrasloft.event_loop.streams import MessageStreams  # noqa: E402
 from sassafrasloft.event_loop.timers import LoopTimers  # noqa: E402
 from sassafrasloft.instance.assembly import create_instance  # noqa: E402
-from sassafrasloft.instance.messages import (  # noqa: E402
-    Heartbeat,
-    JobAnswer,
-    Message,
-    SubmitJob,
-)
+from sassafrasloft.instance.message_codec import Message  # noqa: E402
+from sassafrasloft.instance.messages import Heartbeat, JobAnswer, SubmitJob  # noqa: E402
 from sassafrasloft.instance.settings import InstanceSettings  # noqa: E402
 from sassafrasloft.runs import CommandOutcome, PollRuns, RunnerCommand, StartRun  # noqa: E402
 from sassafrasloft.workload import JobRequest, Resources, StepRequest  # noqa: E402
--- a/sassafrasloft/event_loop/streams.py
+++ b/sassafrasloft/event_loop/streams.py
@@ -9,7 +9,7 @@
 from sassafrasloft.blackboard import Event
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.instance.events import MessageReceived, StreamClosed, StreamOpened
-from sassafrasloft.instance.messages import (
+from sassafrasloft.instance.message_codec import (
     MAX_MESSAGE_BYTES,
     Message,
     MessageMalformed,
--- a/sassafrasloft/event_loop/tests/test_fairness.py
+++ b/sassafrasloft/event_loop/tests/test_fairness.py
@@ -13,7 +13,11 @@
 from sassafrasloft.event_loop.process import InstanceProcess
 from sassafrasloft.instance.commands import CallStore, CloseStream
 from sassafrasloft.instance.events import MessageReceived, StoreReplied
-from sassafrasloft.instance.messages import Heartbeat, QueryQueue, encode_message
+from sassafrasloft.instance.message_codec import encode_message
+from sassafrasloft.instance.messages import (
+    Heartbeat,
+    QueryQueue,
+)
 from sassafrasloft.instance.tuning import Tuning
 from sassafrasloft.leadership.role_controller import (
     HEARTBEAT_TIMER,
--- a/sassafrasloft/event_loop/tests/test_streams.py
+++ b/sassafrasloft/event_loop/tests/test_streams.py
@@ -4,7 +4,11 @@
 
 from sassafrasloft.event_loop.streams import MessageStreams
 from sassafrasloft.instance.events import MessageReceived, StreamClosed, StreamOpened
-from sassafrasloft.instance.messages import Heartbeat, Promote, encode_message
+from sassafrasloft.instance.message_codec import encode_message
+from sassafrasloft.instance.messages import (
+    Heartbeat,
+    Promote,
+)
 
 HOST = "127.0.0.1"
 
--- a/sassafrasloft/gateway/controller.py
+++ b/sassafrasloft/gateway/controller.py
@@ -27,11 +27,11 @@
     SchedulerHeartbeat,
     SchedulerLost,
 )
+from sassafrasloft.instance.message_codec import Message
 from sassafrasloft.instance.messages import (
     CancelJob,
     JobAnswer,
     JobState,
-    Message,
     QueryJob,
     QueryQueue,
     QueueState,
--- a/sassafrasloft/instance/commands.py
+++ b/sassafrasloft/instance/commands.py
@@ -5,7 +5,7 @@
 from sassafrasloft.blackboard import Command
 from sassafrasloft.clock import Milliseconds
 from sassafrasloft.gateway.answers import CallerAnswer
-from sassafrasloft.instance.messages import Message
+from sassafrasloft.instance.message_codec import Message
 from sassafrasloft.metadata import StoreOperation, TransferLimits
 from sassafrasloft.runs import RunnerCommand
 from sassafrasloft.workload import HttpLimits
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -4,7 +4,7 @@
 
 from sassafrasloft.blackboard import Event
 from sassafrasloft.clock import Milliseconds
-from sassafrasloft.instance.messages import Message
+from sassafrasloft.instance.message_codec import Message
 from sassafrasloft.metadata import StoreReply
 from sassafrasloft.metadata.evacuations import ZoneEvacuation
 from sassafrasloft.runs import Run, RunEnd, RunnerEntry, RunnerReply, TaskCrashes
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -25,6 +25,7 @@
     StreamClosed,
     StreamOpened,
 )
+from sassafrasloft.instance.message_codec import Message
 from sassafrasloft.instance.messages import (
     CancelJob,
     CompressedConfiguration,
@@ -40,7 +41,6 @@
     LeadershipMoved,
     LivenessQuery,
     LivenessReply,
-    Message,
     NotScheduling,
     Promote,
     QueryJob,
--- a/sassafrasloft/scheduling/job_lifecycle.py
+++ b/sassafrasloft/scheduling/job_lifecycle.py
@@ -8,13 +8,13 @@
     MessageForGateway,
     RunStopRequested,
 )
+from sassafrasloft.instance.message_codec import Message
 from sassafrasloft.instance.messages import (
     CancelJob,
     EndedJob,
     Handover,
     JobAnswer,
     JobState,
-    Message,
     NotScheduling,
     QueryJob,
     QueryQueue,
--- a/sassafrasloft/testing/fleet/command_execution.py
+++ b/sassafrasloft/testing/fleet/command_execution.py
@@ -27,7 +27,7 @@
     StreamClosed,
     StreamOpened,
 )
-from sassafrasloft.instance.messages import decode_message, encode_message
+from sassafrasloft.instance.message_codec import decode_message, encode_message
 from sassafrasloft.runs import (
     CommandOutcome,
     PollReply,
--- a/sassafrasloft/testing/fleet/tests/test_configuration_exchange.py
+++ b/sassafrasloft/testing/fleet/tests/test_configuration_exchange.py
@@ -10,7 +10,10 @@
     ConfigurationReceived,
     ConfigurationRequested,
 )
-from sassafrasloft.instance.messages import CompressedConfiguration, encode_message
+from sassafrasloft.instance.message_codec import encode_message
+from sassafrasloft.instance.messages import (
+    CompressedConfiguration,
+)
 from sassafrasloft.metadata.exchange import MAX_DOCUMENT_BYTES, OFFERED_BYTES_PER_MS
 from sassafrasloft.testing.fleet.command_execution import HOST, SERVICE
 from sassafrasloft.testing.fleet.store_execution import STORE
--- a/sassafrasloft/workload/tests/test_packing_form.py
+++ b/sassafrasloft/workload/tests/test_packing_form.py
@@ -9,13 +9,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sassafrasloft.instance.messages import (
+from sassafrasloft.instance.message_codec import (
     _KINDS,
     MessageMalformed,
-    SubmitJob,
     decode_message,
     encode_message,
 )
+from sassafrasloft.instance.messages import (
+    SubmitJob,
+)
 from sassafrasloft.workload import JobRequest, Resources, StepRequest
 from sassafrasloft.workload.positional_encoding import from_positional, to_positional
 
