Answer pipelined requests before a planned stop closes their connection

Cause, found by reading: the answer to one request closed the connection of a stopping instance although further requests behind it had arrived whole, and a connection with such requests counted as idle for a moment.

Change: the connection closes behind the last of them.

Result: the new test failed before (one of three requests answered).

--- a/sassafrasloft/event_loop/http_connection.py
+++ b/sassafrasloft/event_loop/http_connection.py
@@ -67,8 +67,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is arriving or waits for its answer."""
-        return not self._is_arriving and not self.request_id
+        """Whether no request is arriving or waits for its turn or its answer."""
+        return not (self._is_arriving or self.request_id or self._has_more_requests)
+
+    @property
+    def _has_more_requests(self) -> bool:
+        return bool(self._pipelined_requests or self._unparsed)
 
     @property
     def _takes_no_requests(self) -> bool:
@@ -257,11 +261,12 @@
         """Write a response and go on with the next pipelined request, if any."""
         self.request_id = 0
         self._unanswered_bytes = 0
-        close = self._server.stopping or self._closes_after_response
+        has_more = self._has_more_requests
+        close = self._closes_after_response or (self._server.stopping and not has_more)
         self._transport.write(response.to_bytes(close))
         if close:
             self._transport.close()
-        elif self._pipelined_requests or self._unparsed:
+        elif has_more:
             self._continue_soon()
         else:
             self._account()
--- a/sassafrasloft/event_loop/tests/test_http_streams_of_bytes.py
+++ b/sassafrasloft/event_loop/tests/test_http_streams_of_bytes.py
@@ -183,3 +183,25 @@
         assert not transport.is_open
 
     asyncio.run(scenario())
+
+
+def test_planned_stop_answers_the_pipelined_requests_that_have_arrived():
+    """Guards against a stop that cuts off a request which was read whole."""
+
+    async def scenario():
+        recorder, transport = Recorder(answers=False), FakeTransport()
+        connection = ServerConnection(recorder.server)
+        connection.connection_made(transport)
+        data = REQUEST * 3
+        recorder.server.buffer[: len(data)] = data
+        connection.buffer_updated(len(data))
+        recorder.server.stopping = True
+        for number in range(1, 4):
+            recorder.server.answer(number, HttpResponse(200))
+            recorder.server.close_listener()
+            await asyncio.sleep(0)
+        assert transport.written.count(b"200 OK") == 3
+        assert transport.written.count(b"Connection: close") == 1
+        assert not transport.is_open
+
+    asyncio.run(scenario())
