Hand leadership on while an acting scheduler stops

Cause, by reading: since an acting scheduler waits for the end of a cut before it stops, and a stopping instance may not claim leadership, nobody claimed it for up to 5.3 s after the store was back.

Change: an acting scheduler that stops asks a follower to claim leadership once the store answers, as a holder does.

--- a/sassafrasloft/leadership/role_controller.py
+++ b/sassafrasloft/leadership/role_controller.py
@@ -187,6 +187,7 @@
         self._begin_load_control(MIN_HANDOVER_BACKOFF_MS, board)
         board.post(LeadershipGained(leadership.base_token, zone, acting=True))
         board.post(SchedulerChanged(OWN_INSTANCE, acting=True))
+        self._promote_successor(board)
 
     def _step_down_if_fenced(self, board: InstanceBoard) -> None:
         """Stop acting as scheduler once another scheduler controls most runners."""
@@ -323,12 +324,21 @@
             board.log("intake_unlimited")
 
     def _begin_stop(self, board: InstanceBoard) -> None:
-        if board.leadership.role is Role.SCHEDULING:
+        if board.leadership.role in (Role.SCHEDULING, Role.ACTING):
             self._promote_successor(board)
 
     def _promote_successor(self, board: InstanceBoard) -> None:
+        """Ask a follower to claim leadership while this instance is about to stop.
+
+        Followers of an acting scheduler can claim it once the store answers again.
+        """
         leadership = board.leadership
-        if leadership.role is not Role.SCHEDULING or not board.stopping.requested:
+        is_scheduler = leadership.role in (Role.SCHEDULING, Role.ACTING)
+        if not is_scheduler or not board.stopping.requested:
+            return
+        board.set_timer(PROMOTION_TIMER, PROMOTION_RETRY_MS)
+        is_acting = leadership.role is Role.ACTING
+        if is_acting and not board.configuration.store_reachable:
             return
         successor = self._followers.choose_successor(
             board, excluded=self._asked_successors
@@ -341,7 +351,6 @@
             # A follower that is about to stop as well does not take over.
             self._asked_successors.add(successor.name)
             self._request_promotion(successor, leadership.intake_share, 0, board)
-        board.set_timer(PROMOTION_TIMER, PROMOTION_RETRY_MS)
 
     def _request_promotion(
         self,
--- a/sassafrasloft/testing/fleet/tests/test_acting_schedulers_that_stop.py
+++ b/sassafrasloft/testing/fleet/tests/test_acting_schedulers_that_stop.py
@@ -136,3 +136,28 @@
     assert slots[successor] < slots[acting]
     assert count_events(world, zone, "runner_fenced") == 0
     assert count_events(world, zone, "right_lost") == 0
+
+
+@pytest.mark.parametrize("stops_first", [True, False])
+def test_leadership_is_claimed_while_an_acting_scheduler_stops(stops_first):
+    """Guards against a fleet without a holder of leadership for a whole planned stop.
+
+    A stopping instance may not claim it, and those that follow it had no reason to.
+    """
+    world = settled_world(FLEET, runners=4)
+    world.store_down = True
+    world.kill(scheduler_of(world))
+    world.run(ELECTION_MS)
+    (acting,) = [name for zone in FLEET for name in acting_in(world, zone)]
+    if stops_first:
+        world.stop(acting)
+        world.run(500)
+    world.store_down = False
+    if not stops_first:
+        world.stop(acting)
+    world.run(2_000)
+    assert scheduler_of(world) != acting
+    names = [name for name, one in world.instances.items() if one.alive and one.ready]
+    jobs = submit_for(world, names, 1_000, first=100)
+    world.run(400)
+    assert all(is_completed(job) for job in jobs)
