--- a/sassafrasloft/scheduling/placement.py
+++ b/sassafrasloft/scheduling/placement.py
@@ -28,7 +28,7 @@
 """A job stops waiting for the rack of its data this long before it would be late there:
 slightly more than the margin before lateness at which admission refuses it."""
 FIXED_RACK_WAIT_MS = 30
-"""Wait of the baseline policy: half of the shortest usual objective's slack."""
+"""Wait of the baseline policy."""
 FAILED_PENALTY_MILLICORES = 80_000
 """Cost of a runner on which the task has failed before, as remaining capacity."""
 
