Poll runners that the store does not list before tasks of a predecessor start

Behind it the task had run on two runners at the same time, for 0.7 s.

Cause: a new scheduler took the list of runners, read after its takeover, for all runners that may have runs of its predecessor. A runner that does not reach the store loses its entry, while the predecessor rightly goes on using it and renews its leases. No other instance knew of such runners.

Waits of 1.6 s for leases are not involved.

Change: instances remember entries that disappear from their lists; the scheduler reports the runners outside its list that may have runs, with the heartbeat after each list; followers offer them to a new scheduler before they submit their jobs. A new scheduler polls them like listed ones, so that the one rule on unseen runners covers them, and starts nothing new on them. Entries are forgotten by the revision of the scheduler's list and not by time, so that a scheduler which cannot read the list loses none.

--- a/sassafrasloft/instance/board.py
+++ b/sassafrasloft/instance/board.py
@@ -15,6 +15,7 @@
 from sassafrasloft.metadata.adoption import ConfigurationState, StoreDocuments
 from sassafrasloft.metadata.evacuations import EvacuationState
 from sassafrasloft.runs import CrashHistory, RunnerPool
+from sassafrasloft.runs.unlisted_runners import UnlistedRunners
 from sassafrasloft.scheduling import JobTable
 from sassafrasloft.scheduling.estimates import DurationEstimates
 
@@ -71,6 +72,7 @@
         self.evacuations = EvacuationState()
         self.leadership = LeadershipState()
         self.pool = RunnerPool()
+        self.unlisted_runners = UnlistedRunners()
         self.crashes = CrashHistory()
         self.jobs = JobTable()
         self.estimates = DurationEstimates()
--- a/sassafrasloft/instance/events.py
+++ b/sassafrasloft/instance/events.py
@@ -198,9 +198,33 @@
 
 @attrs.frozen
 class RunnersOffered(Event):
-    """Another instance reported runners; their entries may have expired."""
+    """Another instance reported runners; their entries may have expired.
+
+    Parameters
+    ----------
+    entries : tuple of RunnerEntry
+    unlisted : tuple of RunnerEntry
+        Runners that are not in its list, and that a scheduler may have used.
+    """
 
     entries: tuple[RunnerEntry, ...]
+    unlisted: tuple[RunnerEntry, ...] = ()
+
+
+@attrs.frozen
+class UnlistedRunnersReported(Event):
+    """The scheduler reported the runners outside its list that may have runs.
+
+    Parameters
+    ----------
+    entries : tuple of RunnerEntry or None
+        None if they have not changed.
+    list_revision : int
+        Revision of its list; 0 if other runners may have runs as well.
+    """
+
+    entries: tuple[RunnerEntry, ...] | None
+    list_revision: int
 
 
 @attrs.frozen
@@ -210,9 +234,10 @@
 
 @attrs.frozen
 class RunnersListed(Event):
-    """The list of runners was read from the store."""
+    """The list of runners was read from the store at a revision."""
 
     entries: tuple[RunnerEntry, ...]
+    revision: int
 
 
 @attrs.frozen
--- a/sassafrasloft/instance/messages.py
+++ b/sassafrasloft/instance/messages.py
@@ -60,6 +60,7 @@
     `acting` is set if it schedules without a lease from the store; `zone` may then name
     the only availability zone that it schedules for. `active_ms` is how long it has
     been scheduling, and `runners_known` is the number of runners that it knows.
+    `unlisted_runners` are the ids of runners outside its list that it knows as well.
     `reads_evacuations` is false from earlier releases, which do not know the message
     `EvacuationReport`. `zone_epochs` are those that an acting scheduler uses.
     """
@@ -72,6 +73,7 @@
     runners_known: int = 0
     reads_evacuations: bool = False
     zone_epochs: tuple[ZoneEpoch, ...] = ()
+    unlisted_runners: tuple[str, ...] = ()
 
 
 @register_message("evacuations")
@@ -112,9 +114,14 @@
 @register_message("runners")
 @attrs.frozen
 class RunnersOffer(Message):
-    """The runners known to the sender, sent to a scheduler that knows fewer."""
+    """The runners known to the sender, sent to a scheduler that knows fewer.
+
+    `unlisted` are runners outside the list that the scheduler does not know, and that
+    an earlier one may have used.
+    """
 
     entries: tuple[RunnerEntry, ...]
+    unlisted: tuple[RunnerEntry, ...] = ()
 
 
 @register_message("crashes")
@@ -145,6 +152,10 @@
     `sustained_load` is the highest load, in tasks per second, that a scheduler is known
     to have sustained. `configuration_version` is that in force at the sender; 0 from
     earlier releases, which do not reply to `ConfigurationRequest`.
+
+    After each list of runners that the scheduler has read, `runner_list_revision` is
+    the revision of the list; 0 in other heartbeats. `unlisted_runners` are the runners
+    outside the list that may have runs; None if they are those sent before.
     """
 
     members: tuple[Member, ...] | None = None
@@ -153,6 +164,8 @@
     offered: int = 0
     sustained_load: float = 0.0
     configuration_version: int = 0
+    runner_list_revision: int = 0
+    unlisted_runners: tuple[RunnerEntry, ...] | None = None
 
 
 @register_message("heard_query")
--- a/sassafrasloft/leadership/controller.py
+++ b/sassafrasloft/leadership/controller.py
@@ -24,6 +24,7 @@
     StoreReplied,
     StreamClosed,
     StreamOpened,
+    UnlistedRunnersReported,
 )
 from sassafrasloft.instance.message_codec import Message
 from sassafrasloft.instance.messages import (
@@ -247,7 +248,7 @@
         elif isinstance(message, EvacuationReport):
             board.post(EvacuationsReported(message.records))
         elif isinstance(message, RunnersOffer):
-            board.post(RunnersOffered(message.entries))
+            board.post(RunnersOffered(message.entries, message.unlisted))
         elif isinstance(message, Hello):
             self._handle_hello(stream, message, board)
         elif isinstance(message, Welcome):
@@ -278,6 +279,12 @@
         self._post_scheduler_heartbeat(board)
         if message.members is not None:
             leadership.members = message.members
+        if message.runner_list_revision or message.unlisted_runners is not None:
+            board.post(
+                UnlistedRunnersReported(
+                    message.unlisted_runners, message.runner_list_revision
+                )
+            )
 
     @staticmethod
     def _post_scheduler_heartbeat(board: InstanceBoard) -> None:
@@ -313,9 +320,7 @@
         if self._pending_handover is not None and not message.acting:
             board.emit(SendMessage(stream.stream_id, self._pending_handover))
             self._pending_handover = None
-        if len(board.pool.entries) > message.runners_known:
-            offer = RunnersOffer(tuple(board.pool.entries.values()))
-            board.emit(SendMessage(stream.stream_id, offer))
+        self._offer_runners(stream, message, board)
         leadership.role = Role.FOLLOWING
         leadership.scheduler_stream_id = stream.stream_id
         leadership.scheduler_last_received_at = board.now
@@ -343,6 +348,24 @@
         since = board.now - message.active_ms
         board.post(SchedulerChanged(stream.stream_id, message.acting, since))
 
+    @staticmethod
+    def _offer_runners(
+        stream: PeerStream, message: Welcome, board: InstanceBoard
+    ) -> None:
+        """Offer runners that a scheduler does not know.
+
+        They have to reach it before the jobs that may have runs on them.
+        """
+        knows_fewer = len(board.pool.entries) > message.runners_known
+        listed = tuple(board.pool.entries.values()) if knows_fewer else ()
+        unlisted = tuple(
+            one
+            for runner_id, one in board.unlisted_runners.known.items()
+            if runner_id not in message.unlisted_runners
+        )
+        if listed or unlisted:
+            board.emit(SendMessage(stream.stream_id, RunnersOffer(listed, unlisted)))
+
     def _handle_not_scheduling(
         self, stream: PeerStream, message: NotScheduling, board: InstanceBoard
     ) -> None:
--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -29,6 +29,9 @@
 MEMBERS_PER_HEARTBEAT = 1_000
 """Entries of member lists that are sent in one heartbeat period, at least one list: of
 50 bytes each and in 50 ms, a megabyte a second. The lists of 31 instances fit."""
+UNLISTED_RUNNERS_PER_HEARTBEAT = 500
+"""Entries of unlisted runners that are sent in one heartbeat period, at least one
+report: of 100 bytes each, a megabyte a second as well."""
 RECONNECT_GRACE_MS = 1_000
 """An instance whose stream ended reconnects within this time, or has failed."""
 
@@ -43,6 +46,10 @@
         """Number of changes of the member list."""
         self._members_allowance = MEMBERS_PER_HEARTBEAT
         """Entries of member lists that may be sent until the next heartbeat."""
+        self._unlisted_allowance = UNLISTED_RUNNERS_PER_HEARTBEAT
+        """Entries of unlisted runners that may be sent until the next heartbeat."""
+        self._reported_list_at: Milliseconds = -1
+        """When the list of runners was read whose revision was sent last."""
         self._next_slot = 1
 
     def begin(self, board: InstanceBoard) -> None:
@@ -93,6 +100,21 @@
         stream.members_version = self._members_version
         return True
 
+    def _may_send_unlisted_runners(
+        self, stream: PeerStream, board: InstanceBoard
+    ) -> bool:
+        """Return whether a follower gets the report now, and account for it.
+
+        Load pattern: many runners do not reach the store at the same time.
+        """
+        report = board.unlisted_runners.report
+        is_current = stream.unlisted_runners_version == report.version
+        if is_current or self._unlisted_allowance <= 0:
+            return False
+        self._unlisted_allowance -= len(report.entries)
+        stream.unlisted_runners_version = report.version
+        return True
+
     def accept_follower(
         self, stream: PeerStream, message: Hello, board: InstanceBoard
     ) -> None:
@@ -118,11 +140,13 @@
                     len(board.pool.entries),
                     reads_evacuations=True,
                     zone_epochs=leadership.used_zone_epochs(),
+                    unlisted_runners=tuple(board.unlisted_runners.known),
                 ),
             )
         )
-        members = leadership.members if self._may_send_members(stream, board) else None
-        heartbeat = _heartbeat_message(members, board)
+        sends_members = self._may_send_members(stream, board)
+        sends_unlisted = self._may_send_unlisted_runners(stream, board)
+        heartbeat = _heartbeat_message(sends_members, sends_unlisted, 0, board)
         board.emit(SendMessage(stream.stream_id, heartbeat))
         if stream.accepts_crash_counts:
             board.post(FollowerAccepted(stream.stream_id))
@@ -152,8 +176,9 @@
             self._remove_absent_members(board)
             self._reclaim_fenced_zones(board)
         self._members_allowance = MEMBERS_PER_HEARTBEAT
-        heartbeat = _heartbeat_message(None, board)
-        with_members = _heartbeat_message(leadership.members, board)
+        self._unlisted_allowance = UNLISTED_RUNNERS_PER_HEARTBEAT
+        list_revision = self._new_list_revision(board)
+        heartbeats = _HeartbeatVariants(list_revision, board)
         for stream in list(leadership.streams.values()):
             if not stream.follower:
                 continue
@@ -161,10 +186,24 @@
             if silent_ms > heartbeat_timeout_ms(stream.heartbeat_delay_ms, board):
                 self.remove(stream, True, board)
                 board.emit(CloseStream(stream.stream_id))
-            elif self._may_send_members(stream, board):
-                board.emit(SendMessage(stream.stream_id, with_members))
-            else:
-                board.emit(SendMessage(stream.stream_id, heartbeat))
+                continue
+            sends_members = self._may_send_members(stream, board)
+            sends_unlisted = self._may_send_unlisted_runners(stream, board)
+            heartbeat = heartbeats.get(stream, sends_members, sends_unlisted)
+            board.emit(SendMessage(stream.stream_id, heartbeat))
+
+    def _new_list_revision(self, board: InstanceBoard) -> int:
+        """Return the revision of a list of runners that was just read; 0 if none was.
+
+        An acting scheduler knows nothing of the runners of other zones, and cannot
+        read the list.
+        """
+        pool = board.pool
+        is_scheduling = board.leadership.role is Role.SCHEDULING
+        if not is_scheduling or pool.entries_read_at == self._reported_list_at:
+            return 0
+        self._reported_list_at = pool.entries_read_at
+        return pool.list_revision
 
     def _reclaim_fenced_zones(self, board: InstanceBoard) -> None:
         """Reclaim zones whose runners are still fenced by a failed acting scheduler.
@@ -274,16 +313,53 @@
         )
 
 
+class _HeartbeatVariants:
+    """The heartbeats of one period, each created once so that it is encoded once.
+
+    Parameters
+    ----------
+    list_revision : int
+        Revision of a new list of runners; 0 if there is none.
+    board : InstanceBoard
+    """
+
+    def __init__(self, list_revision: int, board: InstanceBoard) -> None:
+        self._list_revision = list_revision
+        self._board = board
+        self._variants: dict[tuple[bool, bool, int], Heartbeat] = {}
+
+    def get(
+        self, stream: PeerStream, sends_members: bool, sends_unlisted: bool
+    ) -> Heartbeat:
+        """Return the heartbeat for a follower.
+
+        It gets no revision before the report that goes with it.
+        """
+        report = self._board.unlisted_runners.report
+        has_report = stream.unlisted_runners_version == report.version
+        list_revision = self._list_revision if has_report else 0
+        key = (sends_members, sends_unlisted, list_revision)
+        if key not in self._variants:
+            self._variants[key] = _heartbeat_message(*key, self._board)
+        return self._variants[key]
+
+
 def _heartbeat_message(
-    members: tuple[Member, ...] | None, board: InstanceBoard
+    sends_members: bool,
+    sends_unlisted: bool,
+    list_revision: int,
+    board: InstanceBoard,
 ) -> Heartbeat:
     leadership = board.leadership
+    report = board.unlisted_runners.report
     return Heartbeat(
-        members,
+        leadership.members if sends_members else None,
         leadership.heartbeat_delay_ms,
         leadership.intake_share,
         sustained_load=leadership.sustained_load,
         configuration_version=board.configuration.current.version,
+        runner_list_revision=list_revision,
+        unlisted_runners=report.entries if sends_unlisted else None,
     )
 
 
--- a/sassafrasloft/leadership/role_controller.py
+++ b/sassafrasloft/leadership/role_controller.py
@@ -173,7 +173,8 @@
         leadership.scheduler_stream_id = OWN_INSTANCE
         leadership.base_token = leadership.known_revision * TOKENS_PER_REVISION
         leadership.slot = slot
-        zones = {one.zone for one in board.pool.entries.values()}
+        known = (*board.pool.entries.values(), *board.unlisted_runners.remembered)
+        zones = {one.zone for one in known}
         for one in sorted(zones | {board.settings.zone}):
             if zone in ("", one):
                 # Runners hold the token of the last acting scheduler, if there was one.
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -98,6 +98,8 @@
     """Heartbeat delay that the other instance reported last."""
     members_version: int = 0
     """Version of the member list that was sent to this follower last; 0 if none."""
+    unlisted_runners_version: int = 0
+    """Version of the report on unlisted runners that was sent last; 0 if none."""
     offered: int = 0
     """Tasks that callers submitted to the other instance since this instance's last
     heartbeat."""
--- a/sassafrasloft/metadata/controller.py
+++ b/sassafrasloft/metadata/controller.py
@@ -258,7 +258,8 @@
             for item in reply.items
         }
         entries = (entry for _, entry in self._read_entries.values())
-        board.post(RunnersListed(tuple(one for one in entries if one is not None)))
+        listed = tuple(one for one in entries if one is not None)
+        board.post(RunnersListed(listed, reply.revision))
 
     def _read_entry(self, item: Item, board: InstanceBoard) -> RunnerEntry | None:
         """Return the entry of an item, read only if the item has changed."""
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -16,6 +16,8 @@
     RunnersOffered,
     RunPlaced,
     RunStopRequested,
+    SchedulerChanged,
+    UnlistedRunnersReported,
     ZoneReclaimed,
 )
 from sassafrasloft.runs import health, polling
@@ -36,7 +38,7 @@
 
 @CONTROLLERS.register("runs", order=40)
 class RunsController(RunnerTracker):
-    """Owns `board.pool`."""
+    """Owns `board.pool` and `board.unlisted_runners`."""
 
     handles = (
         ConfigurationAdopted,
@@ -48,7 +50,9 @@
         RunnerReplied,
         RunPlaced,
         RunStopRequested,
+        SchedulerChanged,
         TimerFired,
+        UnlistedRunnersReported,
         ZoneReclaimed,
     )
 
@@ -73,9 +77,18 @@
             board.pool.evacuated_zones = board.evacuations.zones
             board.pool.changed = True
         elif isinstance(event, RunnersListed):
-            self._apply_runner_list(event.entries, board)
+            self._apply_runner_list(event.entries, event.revision, board)
         elif isinstance(event, RunnersOffered):
-            self._add_reported_runners(event.entries, board)
+            self._add_offered_runners(event, board)
+        elif isinstance(event, UnlistedRunnersReported):
+            board.unlisted_runners.apply_report(
+                event.entries, event.list_revision, board.now
+            )
+        elif isinstance(event, SchedulerChanged):
+            # After this time the runs of earlier schedulers have ended, or the new one
+            # knows their runners.
+            keep_until = board.now + polling.predecessor_lease_ms(board.tuning)
+            board.unlisted_runners.begin_following(keep_until)
         elif isinstance(event, LeadershipGained):
             self._activate(event, board)
         elif isinstance(event, LeadershipLost):
--- a/sassafrasloft/runs/runner_list.py
+++ b/sassafrasloft/runs/runner_list.py
@@ -7,13 +7,16 @@
     LeadershipLost,
     RunFinished,
     RunnerCrashed,
+    RunnersOffered,
 )
 from sassafrasloft.runs import polling
 from sassafrasloft.runs.contacts import ContactQueue
 from sassafrasloft.runs.orders import RunEnd
 from sassafrasloft.runs.runners import Run, RunnerEntry, RunnerView
+from sassafrasloft.runs.unlisted_runners import runners_to_report
 
 MAX_LOGGED_TASKS = 10
+MAX_LOGGED_RUNNERS = 10
 SWEEP_TIMER = "runs.sweep"
 SWEEP_INTERVAL_MS = 25
 """Interval between checks for expired leases and overdue runs."""
@@ -43,6 +46,7 @@
         self._contacts.clear()
         for entry in pool.entries.values():
             self._update_runner(entry, board)
+        self._add_unlisted_runners(board)
         self._contact_waiting_runners(board)
         board.set_timer(SWEEP_TIMER, SWEEP_INTERVAL_MS)
 
@@ -54,10 +58,13 @@
             self._queue_contact(view, board)
         for entry in pool.entries.values():
             self._update_runner(entry, board)
+        self._add_unlisted_runners(board)
         self._contact_waiting_runners(board)
 
     def _deactivate(self, event: LeadershipLost, board: InstanceBoard) -> None:
         pool = board.pool
+        board.unlisted_runners.remember(_runners_to_report(board), pool.list_revision)
+        board.unlisted_runners.report.clear()
         pool.active = False
         pool.zone = ""
         pool.runners.clear()
@@ -86,24 +93,70 @@
             polling.poll_now(view, board, self._calls)
 
     def _apply_runner_list(
-        self, entries: tuple[RunnerEntry, ...], board: InstanceBoard
+        self, entries: tuple[RunnerEntry, ...], revision: int, board: InstanceBoard
     ) -> None:
         pool = board.pool
         listed = {entry.runner_id: entry for entry in entries}
-        if self._entries_may_be_missing(board):
+        board.unlisted_runners.discard(listed)
+        may_be_incomplete = self._entries_may_be_missing(board)
+        if may_be_incomplete:
             listed = pool.entries | listed
+        removed = [one for key, one in pool.entries.items() if key not in listed]
         pool.entries = listed
         pool.entries_read_at = board.now
+        pool.list_revision = 0 if may_be_incomplete else revision
         if not pool.active:
+            board.unlisted_runners.remember(removed, revision)
             return
         for entry in pool.entries.values():
             self._update_runner(entry, board)
         for view in list(pool.runners.values()):
             if view.runner_id not in pool.entries:
                 self._handle_missing_entry(view, board)
+        self._report_unlisted_runners(board)
         self._contact_waiting_runners(board)
         pool.changed = True
 
+    def _add_unlisted_runners(self, board: InstanceBoard) -> None:
+        """Add remembered runners, which may have runs but get no further ones."""
+        pool = board.pool
+        added = []
+        for entry in board.unlisted_runners.remembered:
+            if entry.runner_id in pool.runners:
+                continue
+            self._update_runner(entry, board)
+            view = pool.runners.get(entry.runner_id)
+            if view is not None:
+                view.missing_since = board.now
+                added.append(view.runner_id)
+        if added:
+            board.count("unlisted_runners_polled", len(added))
+            board.log(
+                "unlisted_runners_polled",
+                "WARNING",
+                count=len(added),
+                runners=added[:MAX_LOGGED_RUNNERS],
+            )
+        self._report_unlisted_runners(board)
+
+    @staticmethod
+    def _report_unlisted_runners(board: InstanceBoard) -> None:
+        """Update what the followers are told of runners outside the list."""
+        entries = _runners_to_report(board)
+        if board.unlisted_runners.report.update(entries):
+            runners = [one.runner_id for one in entries[:MAX_LOGGED_RUNNERS]]
+            board.log("unlisted_runners", count=len(entries), runners=runners)
+
+    def _add_offered_runners(self, event: RunnersOffered, board: InstanceBoard) -> None:
+        """Add runners that another instance knows."""
+        pool = board.pool
+        unlisted = [one for one in event.unlisted if one.runner_id not in pool.entries]
+        board.unlisted_runners.remember(unlisted, pool.list_revision)
+        if pool.active:
+            self._add_unlisted_runners(board)
+        self._add_reported_runners(event.entries, board)
+        self._contact_waiting_runners(board)
+
     def _add_reported_runners(
         self, entries: tuple[RunnerEntry, ...], board: InstanceBoard
     ) -> None:
@@ -123,7 +176,6 @@
             pool.entries[entry.runner_id] = entry
             if pool.active:
                 self._update_runner(entry, board)
-        self._contact_waiting_runners(board)
 
     def _entries_may_be_missing(self, board: InstanceBoard) -> bool:
         """Return whether entries that expired in an outage may not be restored yet."""
@@ -171,6 +223,7 @@
         grace_expired = board.now - view.missing_since > board.tuning.missing_grace_ms
         if grace_expired and not view.runs:
             board.pool.runners.pop(view.runner_id, None)
+            board.unlisted_runners.discard([view.runner_id])
             board.log("runner_gone", runner=view.runner_id)
 
     def _drop_runner(self, view: RunnerView, reason: str, board: InstanceBoard) -> None:
@@ -180,6 +233,7 @@
         for run in list(view.runs.values()):
             self._finish_run(view, run, RunEnd.LEASE_EXPIRED, reason, board)
         board.pool.runners.pop(view.runner_id, None)
+        board.unlisted_runners.discard([view.runner_id])
 
     def _record_crash(
         self, view: RunnerView, tasks: set[str], board: InstanceBoard
@@ -220,6 +274,11 @@
         board.post(RunFinished(run, end, reason))
 
 
+def _runners_to_report(board: InstanceBoard) -> tuple[RunnerEntry, ...]:
+    lease_expiry_ms = polling.predecessor_lease_ms(board.tuning)
+    return runners_to_report(board.pool, board.now, lease_expiry_ms)
+
+
 def _is_outdated(view: RunnerView, entry: RunnerEntry) -> bool:
     return 0 <= entry.started_at_ms < view.process_started_at_ms
 
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -226,6 +226,9 @@
     entries: dict[str, RunnerEntry] = attrs.field(factory=dict)
     """The newest list of runners, kept whether or not this instance schedules."""
     entries_read_at: Milliseconds = -1
+    list_revision: int = 0
+    """Revision of the store at which the newest list was read; 0 if `entries` has
+    runners that were not in that list."""
     runners_reported_at: Milliseconds = -1
     """When another instance last reported runners that were not in the list."""
     runners: dict[str, RunnerView] = attrs.field(factory=dict)
--- a/sassafrasloft/scheduling/predecessor_runs.py
+++ b/sassafrasloft/scheduling/predecessor_runs.py
@@ -5,7 +5,9 @@
 new jobs are placed before them.
 
 The evidence that no such run exists is, for each runner, its own list of runs, a report
-of the direct predecessor that covers the runner, or the end of the leases.
+of the direct predecessor that covers the runner, or the end of the leases. The runners
+are those in the store's list and those outside of it that instances remember
+(`runs.unlisted_runners`).
 """
 
 from sassafrasloft.clock import Milliseconds
--- a/sassafrasloft/testing/fleet/tests/test_fault_scenarios.py
+++ b/sassafrasloft/testing/fleet/tests/test_fault_scenarios.py
@@ -5,8 +5,8 @@
 from sassafrasloft.testing.fleet import scenario_faults  # noqa: F401
 from sassafrasloft.testing.fleet.fault_scenarios import FaultScenario
 
-SEEDS = (5, 91, 141, 166, 235, 2_000)
-"""Four of these seeds led to two simultaneous runs of one task."""
+SEEDS = (5, 91, 141, 166, 235, 2_000, 5_037)
+"""Five of these seeds led to two simultaneous runs of one task."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
