Test each part of what instances remember of unlisted runners

Cause: taking the parts of the fix out of a copy, one at a time, showed that no test failed without the offers, the memory of a scheduler that steps down, the time that a new scheduler is given, the incomplete list after an outage, the exclusion from new tasks, the revision that waits for its report, and the zones and reports of acting schedulers.

Change: five tests, and one check in that of the spread reports. No product code.

--- a/sassafrasloft/testing/fleet/tests/test_unlisted_runners.py
+++ b/sassafrasloft/testing/fleet/tests/test_unlisted_runners.py
@@ -7,7 +7,7 @@
 from sassafrasloft.instance.commands import SendMessage
 from sassafrasloft.instance.messages import Heartbeat
 from sassafrasloft.instance.tuning import Tuning
-from sassafrasloft.leadership import followers
+from sassafrasloft.leadership import Role, followers
 from sassafrasloft.testing.fleet.tests.situations import (
     ORDER,
     follower_names,
@@ -247,9 +247,16 @@
     pool = pool_of_scheduler(world)
     sent = Counter()
 
+    told = set()
+
     def record(command, now):
         if isinstance(command, SendMessage) and isinstance(command.message, Heartbeat):
-            sent[now] += len(command.message.unlisted_runners or ())
+            beat = command.message
+            if beat.unlisted_runners:
+                told.add(command.stream_id)
+                sent[now] += len(beat.unlisted_runners)
+            # A revision without the report would let the follower forget the runners.
+            assert not (told and beat.runner_list_revision) or command.stream_id in told
 
     observe_commands(world, record)
     for view in pool.runners.values():
@@ -260,3 +267,100 @@
     world.run(1_500)
     assert sum(sent.values()) == runners * len(follower_names(world))
     assert max(sent.values()) < limit + runners
+
+
+def test_follower_offers_unlisted_runners_before_its_jobs():
+    """Guards against a scheduler that learns of a runner by none of its own means.
+
+    It gets no tasks there before the runner is listed.
+    """
+    world = settled_world()
+    runner = world.add_runner("runner-unlisted", "north", 32_000)
+    world.unregister("runner-unlisted")
+    knowing = world.instances[max(follower_names(world))].core.board
+    knowing.unlisted_runners.remember([runner.entry], world.store.revision + 1_000)
+    kill(world, scheduler_of(world))
+    world.run(TAKEOVER_MS)
+    assert scheduler_of(world) != knowing.settings.name
+    pool = pool_of_scheduler(world)
+    view = pool.runners["runner-unlisted"]
+    assert view.contacted
+    assert not pool.usable(view, world.now)
+
+
+def test_scheduler_that_steps_down_remembers_its_unlisted_runners():
+    """Guards against a second run if it schedules again before it followed another."""
+    world = settled_world()
+    scheduler = scheduler_of(world)
+    _, runner_id = start_long_job(world)
+    world.unregister(runner_id)
+    world.run(ALL_LISTS_READ_MS)
+    world.freeze(scheduler)
+    world.run(700)
+    world.thaw(scheduler)
+    board = world.instances[scheduler].core.board
+    assert not board.pool.active
+    assert [one.runner_id for one in board.unlisted_runners.remembered] == [runner_id]
+
+
+def test_first_reports_of_a_new_scheduler_let_nothing_be_forgotten():
+    """Guards against a report that the new scheduler sent before it got offers."""
+    world = settled_world()
+    follower = max(follower_names(world))
+    unlisted = world.instances[follower].core.board.unlisted_runners
+    unlisted.remember([world.runners["runner-west-0"].entry], 0)
+    kill(world, scheduler_of(world))
+    world.run(TAKEOVER_MS)
+    unlisted.apply_report((), world.store.revision, world.now)
+    assert unlisted.remembered
+
+
+def test_list_after_an_outage_of_the_store_counts_as_incomplete():
+    """Guards against followers that forget runners by a list that was filled up.
+
+    For some time the scheduler takes entries from before the outage for listed ones.
+    """
+    world = settled_world()
+    world.store_down = True
+    world.run(3_000)
+    world.store_down = False
+    world.run(1_500)
+    pool = pool_of_scheduler(world)
+    assert pool.list_revision == 0
+    world.run(3_000)
+    assert pool.list_revision > 0
+
+
+def test_acting_scheduler_takes_over_a_zone_without_entries():
+    """Guards against an old fencing token for runners that only are remembered.
+
+    What it reports of its own runners lets nobody forget others.
+    """
+    world = settled_world()
+    instance = max(follower_names(world))
+    for number in range(1, 25):
+        submit_long_job(world, number, instance)
+    world.run(50)
+    for name in world.runners:
+        if zone_of(world, name) == "west":
+            world.unregister(name)
+    world.run(ALL_LISTS_READ_MS)
+    world.store_down = True
+    old = scheduler_of(world)
+    kill(world, old)
+    revisions = []
+
+    def record(command, now):
+        if isinstance(command, SendMessage) and isinstance(command.message, Heartbeat):
+            revisions.append(command.message.runner_list_revision)
+
+    observe_commands(world, record)
+    world.run(1_500)
+    (acting,) = [
+        one.core.board.leadership
+        for one in world.instances.values()
+        if one.alive and one.core.board.leadership.role is Role.ACTING
+    ]
+    assert "west" in acting.zone_epochs
+    assert revisions
+    assert not any(revisions)
