--- a/review/11/rig.py
+++ b/review/11/rig.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -578,10 +579,11 @@
         return (self._folder / "log").read_text(errors="replace")
 
     def end(self) -> None:
-        """Kill the process."""
+        """Kill the process and remove its folder."""
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+        shutil.rmtree(self._folder, ignore_errors=True)
 
 
 def free_ports(count: int) -> list[int]:
@@ -592,7 +594,20 @@
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
-    return [*ports, random.randrange(20_000, 30_000, 16)]
+    while True:
+        first = random.randrange(20_000, 30_000, 16)
+        if all(map(_is_free, range(first, first + 16))):
+            return [*ports, first]
+
+
+def _is_free(port: int) -> bool:
+    """Return whether no process listens to a port, at any address."""
+    with socket.socket() as candidate:
+        try:
+            candidate.bind(("0.0.0.0", port))
+        except OSError:
+            return False
+    return True
 
 
 async def call(host, port, method, path, headers=(), document=None, timeout_s=30):
