Count and log stops that runners reject

Cause: a stop that a runner rejects left no trace: no line, no counter.

Change: `stop_refused` with runner, task, run and outcome, and the counters `stops_refused_<outcome>`.

--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -166,6 +166,8 @@
             polling.poll_now(view, board, self._calls)
         elif reply.outcome in (CommandOutcome.UNKNOWN, CommandOutcome.NOT_SENT):
             self.stop_run(view, run, board)
+        else:
+            health.record_rejected_stop(view, run, reply.outcome, board)
 
     def _handle_poll_reply(
         self,
