Repeat the stop of a run until its runner confirms it

Cause: only a confirmation and a missing reply to a stop led to anything. A stop that a runner rejected was never sent again, the run counted as stopping for good, and its lease, which holds for a whole runner, was renewed with those of the other runs there.

Change: a run that is to stop stays in `unconfirmed_stops` of its runner until a stop is confirmed. Such a stop is sent again, with a pause (`stop_retry_ms`), whatever the outcome of the last one. Until then no lease is renewed on the runner and no run is started there, so that the run ends within a lease in any case.

--- a/sassafrasloft/instance/tests/test_tuning_file.py
+++ b/sassafrasloft/instance/tests/test_tuning_file.py
@@ -42,6 +42,7 @@
     [
         ({"beat_ms": 100}, "silence_ms"),
         ({"renewal_ms": 500}, "lease_ms"),
+        ({"stop_retry_ms": 500}, "stop_retry_ms"),
         ({"right_renewal_ms": 1_100}, "right_lease_ms"),
         ({"store_transfer_ms": 300}, "store_transfer_ms"),
         ({"pause_ms": 250}, "pause_ms"),
@@ -54,7 +55,7 @@
 
 
 def test_each_registered_check_is_tested():
-    assert len(registered_checks()) == 7
+    assert len(registered_checks()) == 8
 
 
 @pytest.mark.parametrize("text", ["[1]", "a: [", "beat_ms", "x" * (MAX_BYTES + 1)])
--- a/sassafrasloft/instance/tuning.py
+++ b/sassafrasloft/instance/tuning.py
@@ -27,6 +27,9 @@
     """Timeout of stop orders, and half the timeout of immediate polls. A round trip
     takes less than 5; a stop whose reply is lost is sent again, and its task waits
     meanwhile."""
+    stop_retry_ms: Milliseconds = 40
+    """Shortest time between two stops of a run, so that a runner that rejects or resets
+    them gets no more than one whose replies are lost."""
     hold_slack_ms: Milliseconds = 80
     """How late the reply to a long poll may arrive."""
     late_end_factor: float = 1.25
--- a/sassafrasloft/instance/tuning_file.py
+++ b/sassafrasloft/instance/tuning_file.py
@@ -62,6 +62,11 @@
     return tuning.lease_ms >= 2 * tuning.renewal_ms + tuning.hold_slack_ms
 
 
+@tuning_check("stop_retry_ms", "At most half of lease_ms.")
+def _stops_are_repeated_within_lease(tuning: Tuning) -> bool:
+    return 2 * tuning.stop_retry_ms <= tuning.lease_ms
+
+
 @tuning_check("right_lease_ms", "At least twice right_renewal_ms.")
 def _renewals_fit_into_right(tuning: Tuning) -> bool:
     return tuning.right_lease_ms >= 2 * tuning.right_renewal_ms
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -20,7 +20,7 @@
     UnlistedRunnersReported,
     ZoneReclaimed,
 )
-from sassafrasloft.runs import health, polling
+from sassafrasloft.runs import health, polling, stops
 from sassafrasloft.runs.contacts import MIN_CONTACTS_PER_SWEEP
 from sassafrasloft.runs.orders import (
     CommandOutcome,
@@ -65,7 +65,7 @@
         elif isinstance(event, RunStopRequested):
             view = board.pool.runners.get(event.run.runner_id)
             if view is not None and view.runs.get(event.run.task) is event.run:
-                self.stop_run(view, event.run, board)
+                stops.request_stop(view, event.run, board, self._calls)
         elif isinstance(event, TimerFired):
             if event.name == SWEEP_TIMER and board.pool.active:
                 self._sweep(board)
@@ -118,7 +118,7 @@
         elif isinstance(reply, StartReply) and run is not None:
             self._handle_start_reply(view, run, reply, board)
         elif isinstance(reply, StopReply) and run is not None:
-            self._handle_stop_reply(view, run, reply, board)
+            stops.handle_stop_reply(view, run, reply.outcome, board, self._calls)
 
     def _mark_fenced(self, view: RunnerView, board: InstanceBoard) -> None:
         if not view.fenced:
@@ -149,26 +149,13 @@
                 run.state = RunState.UNCERTAIN
                 board.count("starts_unanswered")
                 health.record_lost_start(view, board)
-            self.stop_run(view, run, board)
+            stops.request_stop(view, run, board, self._calls)
         else:
             health.record_rejection(view, outcome, board)
             self._finish_run(view, run, None, outcome.value, board)
             if outcome is CommandOutcome.NO_ROOM:
                 polling.poll_now(view, board, self._calls)
 
-    def _handle_stop_reply(
-        self, view: RunnerView, run: Run, reply: StopReply, board: InstanceBoard
-    ) -> None:
-        if view.runs.get(run.task) is not run:
-            return
-        if reply.outcome is CommandOutcome.DONE:
-            run.stop_confirmed_sequence = board.fresh_id()
-            polling.poll_now(view, board, self._calls)
-        elif reply.outcome in (CommandOutcome.UNKNOWN, CommandOutcome.NOT_SENT):
-            self.stop_run(view, run, board)
-        else:
-            health.record_rejected_stop(view, run, reply.outcome, board)
-
     def _handle_poll_reply(
         self,
         view: RunnerView,
@@ -228,6 +215,7 @@
         new_view = RunnerView(view.entry, view.entry.capacity)
         for run in view.runs.values():
             new_view.add(run)
+        new_view.unconfirmed_stops = view.unconfirmed_stops
         new_view.lease_until = view.lease_until
         polling.update_clock_offset(new_view, reply.runner_clock_ms, board.now)
         board.pool.runners[new_view.runner_id] = new_view
@@ -308,17 +296,6 @@
         polling.call_runner(view, "start", order, run, board, self._calls, timeout)
         polling.ensure_long_poll(view, board, self._calls)
 
-    def stop_run(self, view: RunnerView, run: Run, board: InstanceBoard) -> None:
-        """Stop a run; repeated until the runner replies or the lease expires."""
-        if run.state is not RunState.UNCERTAIN:
-            run.state = RunState.STOPPING
-        if board.now >= run.lease_until:
-            return
-        order = StopRun(
-            board.leadership.token_for(view.entry.zone), run.task, run.number
-        )
-        polling.call_runner(view, "stop", order, run, board, self._calls)
-
     def _sweep(self, board: InstanceBoard) -> None:
         board.set_timer(SWEEP_TIMER, SWEEP_INTERVAL_MS)
         self._contact_waiting_runners(board, MIN_CONTACTS_PER_SWEEP)
@@ -327,6 +304,7 @@
                 continue
             self._finish_expired_runs(view, board)
             if not view.fenced and view.runner_id not in self._contacts:
+                stops.repeat_stops(view, board, self._calls)
                 polling.maintain_contact(view, board, self._calls)
                 if health.post_overdue_runs(view, board):
                     polling.poll_now(view, board, self._calls)
@@ -360,7 +338,7 @@
             if view is None:
                 del board.pool.orphans[orphan.task]
             elif orphan.state is not RunState.STOPPING:
-                self.stop_run(view, orphan, board)
+                stops.request_stop(view, orphan, board, self._calls)
 
 
 def _is_certainly_absent(run: Run, call_id: int) -> bool:
--- a/sassafrasloft/runs/health.py
+++ b/sassafrasloft/runs/health.py
@@ -101,21 +101,6 @@
         view.excluded_until = max(view.excluded_until, board.now + NO_ROOM_PAUSE_MS)
 
 
-def record_rejected_stop(
-    view: RunnerView, run: Run, outcome: CommandOutcome, board: InstanceBoard
-) -> None:
-    """Count and log a stop that a runner rejected; the run may go on."""
-    board.count(f"stops_refused_{outcome.value}")
-    board.log(
-        "stop_refused",
-        "WARNING",
-        runner=view.runner_id,
-        task=run.task,
-        run=run.number,
-        outcome=outcome.value,
-    )
-
-
 def record_lost_start(view: RunnerView, board: InstanceBoard) -> None:
     """Record a start without a reply and quarantine the runner after several.
 
--- a/sassafrasloft/runs/runners.py
+++ b/sassafrasloft/runs/runners.py
@@ -86,6 +86,12 @@
     made later."""
     stop_confirmed_sequence: int = 0
     """Id issued when the runner confirmed a stop; 0 without a confirmation."""
+    stop_call: int = 0
+    """The open call of a stop; 0 if there is none."""
+    stop_sent_at: Milliseconds = -1
+    """When a stop was last sent; -1 if none was."""
+    stop_failed: bool = False
+    """Whether a stop was rejected or got no reply."""
     lease_until: Milliseconds = 0
     """Latest expiry of the lease on the local clock; by then the runner has ended the
     run."""
@@ -125,6 +131,8 @@
     entry: RunnerEntry
     free: Resources
     runs: dict[str, Run] = attrs.field(factory=dict)
+    unconfirmed_stops: dict[str, Run] = attrs.field(factory=dict)
+    """Runs, by task, that are to stop and whose stop the runner has not confirmed."""
     contacted: bool = False
     """Whether the runner has listed its runs under the current fencing token."""
     contacted_at: Milliseconds = 0
@@ -200,6 +208,7 @@
     def remove(self, run: Run) -> None:
         """Remove an ended run and return its demand to the free capacity."""
         if self.runs.pop(run.task, None) is not None:
+            self.unconfirmed_stops.pop(run.task, None)
             self.free = self.free.plus(run.demand)
             self._count_restricted(run, -1)
 
@@ -250,6 +259,7 @@
         return (
             view.contacted
             and not view.fenced
+            and not view.unconfirmed_stops
             and not view.entry.draining
             and view.entry.zone not in self.evacuated_zones
             and view.missing_since < 0
@@ -296,8 +306,11 @@
         """Return whether a runner has runs whose leases have to be renewed.
 
         Leases granted by a predecessor that may still be working are not renewed, so
-        that they expire when it expects.
+        that they expire when it expects, and none while the stop of a run is not
+        confirmed: a lease holds for all runs on a runner.
         """
+        if view.unconfirmed_stops:
+            return False
         return any(
             task not in self.orphans
             or not (self.acting or run.state is RunState.STOPPING)
--- a/sassafrasloft/testing/fleet/command_execution.py
+++ b/sassafrasloft/testing/fleet/command_execution.py
@@ -136,8 +136,11 @@
         if runner is None or self.cut(instance.name, command.runner_id):
             return
         runner_command = command.order
-        if self.runner_faults.rejects(command.runner_id, self.random):
-            reply = _REPLIES[type(runner_command)](CommandOutcome.UNHEALTHY)
+        rejection = self.runner_faults.rejection(
+            command.runner_id, runner_command, self.random
+        )
+        if rejection is not None:
+            reply = _REPLIES[type(runner_command)](rejection)
             self._send_runner_reply(instance, command, reply)
             return
         if isinstance(runner_command, StartRun) and self._apply_start_fault(
--- a/sassafrasloft/testing/fleet/runner_faults.py
+++ b/sassafrasloft/testing/fleet/runner_faults.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from sassafrasloft.runs import CommandOutcome, RunnerCommand, StopRun
+
 
 class StartFault(StrEnum):
     """How a command to start a run fails; the run never begins."""
@@ -21,7 +23,7 @@
 class RunnerFaults:
     """Faults by runner.
 
-    Polls and stop commands succeed unless they are rejected or their replies are lost.
+    Polls succeed unless they are rejected or their replies are lost.
 
     Parameters
     ----------
@@ -34,12 +36,15 @@
         for a link that is cut in one direction.
     rejected_shares : dict
         Share of commands of all kinds that the runner rejects as unhealthy, by runner.
+    stops : dict
+        How stop commands fail without effect, by runner: with which outcome.
     """
 
     starts: dict[str, StartFault] = attrs.field(factory=dict)
     affected_zone: str = ""
     lost_reply_shares: dict[str, float] = attrs.field(factory=dict)
     rejected_shares: dict[str, float] = attrs.field(factory=dict)
+    stops: dict[str, CommandOutcome] = attrs.field(factory=dict)
     affected_starts: dict[str, int] = attrs.field(factory=dict)
     """Number of start commands that have failed, by runner."""
 
@@ -55,9 +60,15 @@
         """Draw whether the reply to a command is lost."""
         return _draw(self.lost_reply_shares, runner_id, random)
 
-    def rejects(self, runner_id: str, random: Random) -> bool:
-        """Draw whether a runner rejects a command without any effect."""
-        return _draw(self.rejected_shares, runner_id, random)
+    def rejection(
+        self, runner_id: str, command: RunnerCommand, random: Random
+    ) -> CommandOutcome | None:
+        """Draw whether a command has no effect; return its outcome if so."""
+        if isinstance(command, StopRun) and runner_id in self.stops:
+            return self.stops[runner_id]
+        if _draw(self.rejected_shares, runner_id, random):
+            return CommandOutcome.UNHEALTHY
+        return None
 
 
 def _draw(shares: dict[str, float], runner_id: str, random: Random) -> bool:
