Wait for the leases that a successor may have renewed

Cause: a scheduler that cannot reach a runner takes a run there for ended 270 ms after its own lease, in which a successor lists the runs, waits 150 ms for their jobs and stops them. But that successor renews the lease while it waits, so that a run whose stop it cannot deliver goes on for up to another lease.

Change: an instance that has not heard from a majority of followers since the end of the lease waits for the time in which its successor's leases end as well. A successor needs a majority without a scheduler, so that one that is followed goes on as before.

Cost: tasks that a cut-off scheduler had placed outside of its zone start again 0.9 s later there (by the constants).

--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -156,6 +156,18 @@
     lease_confirmed_at: Milliseconds = 0
     """When the store last granted or renewed the lease."""
 
+    def majority_heard_since(self, since: Milliseconds) -> bool:
+        """Return whether more than half of the members were heard from as followers.
+
+        No other instance can have claimed leadership before, since that takes a
+        majority without a scheduler.
+        """
+        heard = sum(
+            one.follower and one.last_received_at > since
+            for one in self.streams.values()
+        )
+        return (heard + 1) * 2 > len(self.members)
+
     def used_zone_epochs(self) -> tuple[ZoneEpoch, ...]:
         """Return the epochs of all zones that have one, sorted by zone."""
         return tuple(ZoneEpoch(*one) for one in sorted(self.zone_epochs.items()))
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -311,12 +311,8 @@
         self._stop_orphans(board)
 
     def _finish_expired_runs(self, view: RunnerView, board: InstanceBoard) -> None:
-        tuning = board.tuning
-        # Another scheduler that has taken over the runner may renew the leases of its
-        # runs for this long.
-        takeover_ms = tuning.orphan_grace_ms + tuning.stop_ms
         for run in list(view.runs.values()):
-            if board.now > run.lease_until + tuning.lapse_margin_ms + takeover_ms:
+            if _must_have_ended(run, board):
                 board.count("runs_lapsed")
                 if view.unanswered:
                     board.crashes.record_loss(
@@ -341,6 +337,24 @@
                 stops.request_stop(view, orphan, board, self._calls)
 
 
+def _must_have_ended(run: Run, board: InstanceBoard) -> bool:
+    """Return whether a run has ended with its lease, whoever else may have renewed it.
+
+    An instance without a majority of followers may have been replaced. Its successor
+    renews the leases of runs that it finds for the time in which their jobs may be
+    submitted to it, and then waits for their end or for a confirmed stop.
+    """
+    tuning = board.tuning
+    expired_at = run.lease_until + tuning.lapse_margin_ms
+    overdue_ms = board.now - expired_at
+    if overdue_ms <= tuning.orphan_grace_ms + tuning.stop_ms:
+        return False
+    if board.leadership.majority_heard_since(expired_at):
+        return True
+    renewed_ms = tuning.lease_ms + tuning.lapse_margin_ms
+    return overdue_ms > tuning.orphan_grace_ms + renewed_ms
+
+
 def _is_certainly_absent(run: Run, call_id: int) -> bool:
     """Return whether the reply to a call would list the run if it still existed.
 
--- a/sassafrasloft/testing/fleet/tests/test_rejected_stops.py
+++ b/sassafrasloft/testing/fleet/tests/test_rejected_stops.py
@@ -78,7 +78,7 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-@pytest.mark.parametrize("share", [0.5])
+@pytest.mark.parametrize("share", [0.5, 0.9, 1.0])
 def test_cut_off_scheduler_starts_no_task_whose_run_rejects_its_stop(seed, share):
     """Guards against a run that goes on beside the one that its scheduler starts.
 
