Test that a run without a reply does not block its runner for good

A start without a reply is stopped until its lease has expired. If the runner replied again within the next 270 ms, before the run was taken for ended, each renewal prolonged that run too, and no stop was sent any more.

Change: none beside the test.

--- a/sassafrasloft/testing/fleet/tests/test_rejected_stops.py
+++ b/sassafrasloft/testing/fleet/tests/test_rejected_stops.py
@@ -15,6 +15,7 @@
     scheduler_of,
     settled_world,
     submit_lookup,
+    submit_order,
 )
 from sassafrasloft.testing.fleet.tests.test_cancelled_jobs import cancel
 from sassafrasloft.testing.fleet.tests.test_partitions import isolate_zone, zone_of
@@ -230,3 +231,24 @@
     world.run(STOP_MS)
     assert {one.fencing_token for _, one in stops} == {earlier, token}
     assert runs_of(world, job_id) == []
+
+
+@pytest.mark.parametrize("cut_ms", range(900, 1_210, 10))
+def test_capacity_is_free_again_after_a_runner_was_unreachable(cut_ms):
+    """Guards against runs that are neither stopped nor taken for ended.
+
+    A run whose start got no reply is stopped until its lease expires. If the runner
+    replied again before the run was taken for ended, each renewal put that off.
+    """
+    for position_ms in range(0, 250, 50):
+        world = settled_world({"north": 2}, runners=1)
+        runner = next(iter(world.runners))
+        world.cut = lambda one, other, runner=runner: runner in (one, other)
+        submit_order(world, 1, follower_names(world)[0])
+        world.run(cut_ms + position_ms)
+        world.cut = lambda one, other: False
+        world.run(4_000)
+        board = world.instances[scheduler_of(world)].core.board
+        view = board.pool.runners[runner]
+        assert not view.runs
+        assert view.free == view.entry.capacity
