Look for places in a rack only as far as tasks ask for them

One job whose tasks need no processor and have their data in a rack hung one scheduler after the other, as each next one got the job from the instance that holds it or from the client's next attempt.

Cause: the wait for a rack lists when its runners have places for tasks of a size. For a task that needs no processor the list has no end, and for one that needs little it is as long as the quotient of a runner's capacity and the demand, at each end of a run.

The same job in a fleet of decision cores (no network) did not return from its first step; the stack after four seconds ends in `RackPlaces.__init__`, from `ExpectedEnd.choose`.

Change: the places are merged lazily in order of time. Only as many are found as tasks have asked for, so that the work is bounded by the number of tasks, runners and runs.

--- a/sassafrasloft/scheduling/rack_wait.py
+++ b/sassafrasloft/scheduling/rack_wait.py
@@ -6,8 +6,10 @@
 place in its rack.
 """
 
-from bisect import bisect_right, insort
-from collections.abc import Iterable
+from collections import deque
+from collections.abc import Iterable, Iterator
+from heapq import merge
+from itertools import islice
 
 import attrs
 
@@ -26,6 +28,10 @@
 class RackPlaces:
     """When the runners of a rack are expected to have capacity for further tasks.
 
+    Only as many places are looked for as tasks ask for one: how many fit on a runner
+    depends on the amounts that callers and runners state, and has no limit for tasks
+    that need no processor.
+
     Parameters
     ----------
     views : iterable of RunnerView
@@ -38,10 +44,9 @@
     def __init__(
         self, views: Iterable[RunnerView], millicores: int, now: Milliseconds
     ) -> None:
-        self._times: list[float] = []
-        for view in views:
-            for at in _places_on(view, millicores, now):
-                insort(self._times, at)
+        self._further = merge(*(_places_on(view, millicores, now) for view in views))
+        self._times: deque[float] = deque()
+        """The earliest places, in order, as far as they were looked for."""
         self._waiting = 0
 
     def next_at(self, duration_ms: float) -> float:
@@ -52,6 +57,7 @@
         duration_ms : float
             How long each of the waiting tasks keeps its place.
         """
+        self._find_places(self._waiting + 1)
         if not self._times:
             return _NEVER
         rounds, index = divmod(self._waiting, len(self._times))
@@ -63,21 +69,35 @@
 
     def take_free_place(self, now: Milliseconds) -> None:
         """Remove a place that a task has taken."""
-        if bisect_right(self._times, now):
-            del self._times[0]
+        self._find_places(1)
+        if self._times and self._times[0] <= now:
+            self._times.popleft()
+
+    def _find_places(self, count: int) -> None:
+        """Find the earliest places up to a number, or all if there are fewer."""
+        self._times.extend(islice(self._further, max(0, count - len(self._times))))
 
 
-def _places_on(view: RunnerView, millicores: int, now: Milliseconds) -> Iterable[float]:
+def _places_on(view: RunnerView, millicores: int, now: Milliseconds) -> Iterator[float]:
     """Return when each further task fits on a runner, as its runs end."""
-    free = view.free.millicores
-    while free >= millicores:
-        free -= millicores
-        yield now
     slowness = max(1.0, current_slowness(view, now))
     ends = sorted(
         (now + _remaining_ms(run, slowness, now), run.demand.millicores)
         for run in view.runs.values()
     )
+    return _times_of_places(view.free.millicores, millicores, now, ends)
+
+
+def _times_of_places(
+    free: int,
+    millicores: int,
+    now: Milliseconds,
+    ends: list[tuple[float, int]],
+) -> Iterator[float]:
+    """Yield the times in order, without end if the tasks need no processor."""
+    while free >= millicores:
+        free -= millicores
+        yield now
     for end, released in ends:
         free += released
         while free >= millicores:
--- a/sassafrasloft/scheduling/tests/test_rack_wait.py
+++ b/sassafrasloft/scheduling/tests/test_rack_wait.py
@@ -18,10 +18,10 @@
 NEVER = float("inf")
 
 
-def view_with_runs(*elapsed_ms, expected_ms=100.0):
+def view_with_runs(*elapsed_ms, expected_ms=100.0, room=ROOM):
     """Return a runner with two places, some of which have been taken for a time."""
-    entry = RunnerEntry("r-1", "desk", "", "north", False, ROOM, ("rack-0",))
-    view = RunnerView(entry, ROOM)
+    entry = RunnerEntry("r-1", "desk", "", "north", False, room, ("rack-0",))
+    view = RunnerView(entry, room)
     for number, elapsed in enumerate(elapsed_ms):
         began_at = NOW - elapsed
         view.add(
@@ -39,8 +39,23 @@
     return view
 
 
-def next_places(*views, count):
-    places, found = RackPlaces(views, DEMAND.millicores, NOW), []
+class CountedDemand(int):
+    """A demand that may be compared with free capacity a limited number of times."""
+
+    def __new__(cls, millicores, limit):
+        self = super().__new__(cls, millicores)
+        self.left = limit
+        return self
+
+    def __le__(self, free):
+        """Return whether it fits into the free capacity, and count that."""
+        self.left -= 1
+        assert self.left >= 0, "the work of a decision grows with an amount"
+        return int(self) <= free
+
+
+def next_places(*views, count, millicores=DEMAND.millicores):
+    places, found = RackPlaces(views, millicores, NOW), []
     for _ in range(count):
         found.append(places.next_at(60.0) - NOW)
         places.add_waiting_task()
@@ -111,3 +126,35 @@
     """Guards against tasks that wait for ever as each estimate promises a place."""
     assert pays(choice(30, 1_000, waited_ms=950))
     assert not pays(choice(30, 1_000, waited_ms=970))
+
+
+@pytest.mark.parametrize(
+    ("millicores", "room"),
+    [
+        pytest.param(0, 32_000, id="a task that needs no processor"),
+        pytest.param(1, 32_000, id="a task that needs very little"),
+        pytest.param(14_000, 2**62, id="a runner that states a huge capacity"),
+    ],
+)
+def test_work_of_a_decision_is_bounded_by_counts(millicores, room):
+    """Guards against schedulers that hang since the number of places has no limit."""
+    runners, tasks = 8, 20
+    resources = Resources(room, 64_000, 0)
+    views = [view_with_runs(80, 30, room=resources) for _ in range(runners)]
+    demand = CountedDemand(millicores, limit=10 * (runners + tasks))
+    assert next_places(*views, count=tasks, millicores=demand) == [0] * tasks
+
+
+@pytest.mark.parametrize("free_places", [0, 1, 3])
+def test_taken_places_are_not_given_out_again(free_places):
+    """Guards against tasks that wait for a place which has just been taken."""
+    views = view_with_runs(80), view_with_runs(50), view_with_runs(20)
+    places = RackPlaces(views, DEMAND.millicores, NOW)
+    for _ in range(free_places):
+        places.take_free_place(NOW)
+    left = [0] * (3 - free_places)
+    found = []
+    for _ in range(len(left) + 1):
+        found.append(places.next_at(60.0) - NOW)
+        places.add_waiting_task()
+    assert found == [*left, OVERDUE_SHARE * 100]
--- a/sassafrasloft/testing/fleet/tests/test_preferred_racks.py
+++ b/sassafrasloft/testing/fleet/tests/test_preferred_racks.py
@@ -19,6 +19,7 @@
     submit_lookup,
 )
 from sassafrasloft.testing.fleet.world import simple_job
+from sassafrasloft.workload import JobRequest, Resources, StepRequest
 
 RACK_SIZE = 4
 PREFERRED_RACK = "rack-0"
@@ -239,3 +240,19 @@
     board = world.instances[scheduler_of(world)].core.board
     assert not board.jobs.open
     assert on_time(jobs) >= 20
+
+
+@pytest.mark.timeout(20)
+@pytest.mark.parametrize("demand", [Resources(), Resources(0, 64), Resources(1, 64)])
+def test_task_that_needs_no_processor_hangs_no_scheduler(demand):
+    """Guards against a job that hangs one scheduler after the other.
+
+    Its rack is busy, and its task may run anywhere.
+    """
+    world = settled_world_with_racks()
+    submit_in_sequence(world, 20, gap_ms=10, submit=submit_with_preferred_rack)
+    step = StepRequest(2, demand, 60, preferred_rack=PREFERRED_RACK)
+    job = JobRequest(f"{100:016x}", "spec", (step,))
+    submitted = world.submit(job, LOOKUP, follower_names(world)[0])
+    world.run(500)
+    assert is_completed(submitted)
