Let runners reject commands in the fleet's random faults

Change: the fault `runners_reject`, a share of all commands or all stops of one to four runners. It is drawn where it is named or with `--faults=all`, so that known seeds keep their scenarios.

--- a/sassafrasloft/testing/fleet/fault_hunt.py
+++ b/sassafrasloft/testing/fleet/fault_hunt.py
@@ -15,11 +15,16 @@
 from sassafrasloft.testing.fleet.fault_scenarios import (
     DETECTED_DISCONNECT_SHARE,
     FaultScenario,
+    all_faults,
 )
 
 _FIRST = flags.DEFINE_integer("first", 0, "The first seed.")
 _COUNT = flags.DEFINE_integer("count", 100, "The number of seeds.")
-_FAULTS = flags.DEFINE_list("faults", [], "Names of faults to draw from; all if empty.")
+_FAULTS = flags.DEFINE_list(
+    "faults",
+    [],
+    "Names of faults to draw from, or 'all'; if empty, those drawn by default.",
+)
 _SEEN = flags.DEFINE_float(
     "seen",
     DETECTED_DISCONNECT_SHARE,
@@ -29,10 +34,11 @@
 
 def main(_: list[str]) -> int:
     """Run the scenarios of all seeds and return the exit code."""
+    faults = all_faults() if _FAULTS.value == ["all"] else tuple(_FAULTS.value)
     began = time.monotonic()
     failed = []
     for seed in range(_FIRST.value, _FIRST.value + _COUNT.value):
-        scenario = FaultScenario(seed, tuple(_FAULTS.value), _SEEN.value)
+        scenario = FaultScenario(seed, faults, _SEEN.value)
         try:
             scenario.run()
         except Exception as error:
--- a/sassafrasloft/testing/fleet/fault_scenarios.py
+++ b/sassafrasloft/testing/fleet/fault_scenarios.py
@@ -32,20 +32,38 @@
 """Sender and receiver: names of instances or runners, or `STORE`."""
 FaultAction = Callable[["FaultScenario"], None]
 _FAULT_ACTIONS: dict[str, FaultAction] = {}
+_DEFAULT_FAULTS: list[str] = []
 
 
-def register_fault(name: str) -> Callable[[FaultAction], FaultAction]:
-    """Return a decorator that registers a fault under a name."""
+def register_fault(
+    name: str, by_default: bool = True
+) -> Callable[[FaultAction], FaultAction]:
+    """Return a decorator that registers a fault under a name.
+
+    Parameters
+    ----------
+    name : str
+    by_default : bool
+        Whether scenarios draw it that name no faults. A further one would give each
+        known seed another scenario.
+    """
 
     def register(action: FaultAction) -> FaultAction:
         if name in _FAULT_ACTIONS:
             raise ValueError(f"fault {name!r} is registered twice")
         _FAULT_ACTIONS[name] = action
+        if by_default:
+            _DEFAULT_FAULTS.append(name)
         return action
 
     return register
 
 
+def all_faults() -> tuple[str, ...]:
+    """Return the names of all registered faults."""
+    return tuple(_FAULT_ACTIONS)
+
+
 @attrs.define(eq=False)
 class FaultScenario:
     """The faults, jobs and fleet of one seed.
@@ -54,7 +72,7 @@
     ----------
     seed : int
     fault_names : tuple of str
-        The faults to draw from; all registered faults if empty.
+        The faults to draw from; those that are drawn by default if empty.
     detected_disconnect_share : float
         Share of callers' broken connections that the instance detects.
     """
@@ -85,7 +103,7 @@
             world.timer_delays_ms = {
                 name: random.randrange(MAX_TIMER_DELAY_MS) for name in world.instances
             }
-        fault_names = self.fault_names or tuple(_FAULT_ACTIONS)
+        fault_names = self.fault_names or tuple(_DEFAULT_FAULTS)
         for _ in range(random.randint(*FAULT_COUNT_RANGE)):
             name = random.choice(fault_names)
             at = random.uniform(0, FAULT_WINDOW_MS)
--- a/sassafrasloft/testing/fleet/scenario_faults.py
+++ b/sassafrasloft/testing/fleet/scenario_faults.py
@@ -1,5 +1,6 @@
 """The faults of fault scenarios; each one ends without further action."""
 
+from sassafrasloft.runs import CommandOutcome
 from sassafrasloft.testing.fleet.fault_scenarios import FaultScenario, register_fault
 from sassafrasloft.testing.fleet.store_execution import STORE
 
@@ -212,3 +213,24 @@
     scenario.world.restart_runner(
         scenario.random.choice(sorted(scenario.world.runners))
     )
+
+
+@register_fault("runners_reject", by_default=False)
+def reject_commands(scenario: FaultScenario) -> None:
+    """Let some runners reject a share of all commands, or all stops."""
+    faults = scenario.world.runner_faults
+    names = sorted(scenario.world.runners)
+    chosen = scenario.random.sample(names, scenario.random.randint(1, 4))
+    share = scenario.random.choice((0.0, 0.5, 0.9, 1.0))
+    scenario.record_event(f"{chosen} reject {share or 'stops'}")
+    if share:
+        faults.rejected_shares.update(dict.fromkeys(chosen, share))
+    else:
+        faults.stops.update(dict.fromkeys(chosen, CommandOutcome.UNHEALTHY))
+
+    def end() -> None:
+        for name in chosen:
+            faults.rejected_shares.pop(name, None)
+            faults.stops.pop(name, None)
+
+    scenario.schedule(scenario.draw_duration(), end)
--- a/sassafrasloft/testing/fleet/tests/test_fault_scenarios.py
+++ b/sassafrasloft/testing/fleet/tests/test_fault_scenarios.py
@@ -13,3 +13,12 @@
 def test_no_task_has_two_runs_during_overlapping_faults(seed):
     """Guards against simultaneous schedulers that start the same task."""
     FaultScenario(seed, detected_disconnect_share=1.0).run()
+
+
+@pytest.mark.parametrize("seed", [90_000, 90_001, 90_117])
+def test_no_task_has_two_runs_while_runners_reject_commands(seed):
+    """Guards against runs that a scheduler cannot stop or cannot see.
+
+    Runners reject some of their commands while a zone is cut off.
+    """
+    FaultScenario(seed, ("zone_cut", "runners_reject"), 1.0).run()
