Keep in mind when too few instances followed

Cause: whether a scheduler is followed by a majority was judged by its present members. A member whose stream is reset is taken for failed after a second and no longer counts, so that the instances of a cut-off zone alone become a majority before the leases of a successor have ended.

Change: the time at which too few followed last is kept. A lease that was renewed before that time may have been renewed by a successor, too.

--- a/sassafrasloft/leadership/followers.py
+++ b/sassafrasloft/leadership/followers.py
@@ -172,6 +172,8 @@
     def send_heartbeats(self, board: InstanceBoard) -> None:
         """Send a heartbeat to all followers and remove those that timed out."""
         leadership = board.leadership
+        if not self.has_quorum(board):
+            leadership.majority_missed_at = board.now
         if leadership.role is Role.SCHEDULING:
             self._remove_absent_members(board)
             self._reclaim_fenced_zones(board)
--- a/sassafrasloft/leadership/state.py
+++ b/sassafrasloft/leadership/state.py
@@ -129,6 +129,8 @@
     """Epochs that the last scheduler used, if it was an acting one."""
     members: tuple[Member, ...] = ()
     """Member list: the instances known to the scheduler."""
+    majority_missed_at: Milliseconds = -1
+    """When too few members followed this instance last; -1 if never."""
     streams: dict[int, PeerStream] = attrs.field(factory=dict)
     scheduler_stream_id: int = -1
     """Stream to the scheduler; 0 if this instance schedules, -1 if there is none."""
@@ -156,17 +158,18 @@
     lease_confirmed_at: Milliseconds = 0
     """When the store last granted or renewed the lease."""
 
-    def majority_heard_since(self, since: Milliseconds) -> bool:
-        """Return whether more than half of the members were heard from as followers.
+    def kept_majority(self, since: Milliseconds, until: Milliseconds) -> bool:
+        """Return whether a majority followed from one time until after another.
 
-        No other instance can have claimed leadership before, since that takes a
-        majority without a scheduler.
+        No other instance can have claimed leadership meanwhile, since that takes a
+        majority without a scheduler. Members that are gone for long no longer count,
+        so that the majority of today's members alone proves nothing.
         """
         heard = sum(
-            one.follower and one.last_received_at > since
+            one.follower and one.last_received_at > until
             for one in self.streams.values()
         )
-        return (heard + 1) * 2 > len(self.members)
+        return self.majority_missed_at < since and (heard + 1) * 2 > len(self.members)
 
     def used_zone_epochs(self) -> tuple[ZoneEpoch, ...]:
         """Return the epochs of all zones that have one, sorted by zone."""
--- a/sassafrasloft/runs/controller.py
+++ b/sassafrasloft/runs/controller.py
@@ -349,7 +349,8 @@
     overdue_ms = board.now - expired_at
     if overdue_ms <= tuning.orphan_grace_ms + tuning.stop_ms:
         return False
-    if board.leadership.majority_heard_since(expired_at):
+    renewed_at = run.lease_until - board.settings.longest_lease_ms
+    if board.leadership.kept_majority(renewed_at, expired_at):
         return True
     renewed_ms = tuning.lease_ms + tuning.lapse_margin_ms
     return overdue_ms > tuning.orphan_grace_ms + renewed_ms
--- a/sassafrasloft/testing/fleet/tests/test_rejected_stops.py
+++ b/sassafrasloft/testing/fleet/tests/test_rejected_stops.py
@@ -106,6 +106,23 @@
     world.run(3_000)
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_cut_off_scheduler_whose_streams_were_reset_waits_for_its_successor(seed):
+    """Guards against a scheduler that forgets its followers and counts as followed.
+
+    A member whose stream was reset is taken for failed after a second, so that the
+    instances of the cut-off zone alone are a majority.
+    """
+    world = settled_world(ZONES, runners=4, seed=seed)
+    zone = zone_of(world, scheduler_of(world))
+    submit_long_jobs(world, 48, list(world.instances))
+    world.run(30 * seed)
+    reject_stops(world, [one for one in world.runners if zone_of(world, one) != zone])
+    isolate_zone(world, zone, with_store=True)
+    world.reset_streams()
+    world.run(5_000)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_cut_off_scheduler_ends_jobs_of_others_whose_stop_is_rejected(seed):
     """Guards against a run that its cut-off scheduler neither stops nor lets lapse.
