--- a/sassafrasloft/testing/fleet/command_execution.py
+++ b/sassafrasloft/testing/fleet/command_execution.py
@@ -135,40 +135,25 @@
         runner = self.runners.get(command.runner_id)
         if runner is None or self.cut(instance.name, command.runner_id):
             return
-        runner_command = command.order
-        rejection = self.runner_faults.rejection(
-            command.runner_id, runner_command, self.random
-        )
+        order = command.order
+        rejection = self.runner_faults.rejection(command.runner_id, order, self.random)
         if rejection is not None:
-            reply = _REPLIES[type(runner_command)](rejection)
+            reply = _REPLIES[type(order)](rejection)
             self._send_runner_reply(instance, command, reply)
             return
-        if isinstance(runner_command, StartRun) and self._apply_start_fault(
-            instance, command
-        ):
+        if isinstance(order, StartRun) and self._apply_start_fault(instance, command):
             return
-        if (
-            not isinstance(runner_command, PollRuns)
-            and self.random.random() < self.late_orders
-        ):
+        if not isinstance(order, PollRuns) and self.random.random() < self.late_orders:
             delay = self.random.uniform(200, 3_000)
             self.queue.after(delay, lambda: self._execute_delayed_command(command))
             return
-        if (
-            isinstance(runner_command, PollRuns)
-            and self.random.random() < self.lost_poll_share
-        ):
+        if isinstance(order, PollRuns) and self.random.random() < self.lost_poll_share:
             return
-        reply = runner.take(runner_command, self.now)
+        reply = runner.take(order, self.now)
         self._schedule_advance(runner)
         done = reply.outcome is CommandOutcome.DONE
-        if (
-            isinstance(runner_command, PollRuns)
-            and runner_command.wait_ms
-            and done
-            and not reply.ended
-        ):
-            self._continue_long_poll(instance, command, runner, runner_command.wait_ms)
+        if isinstance(order, PollRuns) and order.wait_ms and done and not reply.ended:
+            self._continue_long_poll(instance, command, runner, order.wait_ms)
             return
         self._send_runner_reply(instance, command, reply)
 
